--- /dev/null
+++ b/applier/diff.go
@@ -0,0 +1,82 @@
+package applier
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+
+	"burdocklane/assembler"
+	"burdocklane/descriptor"
+	"burdocklane/parser"
+	"burdocklane/storer"
+)
+
+func sortNewestFirst(records []assembler.Record) {
+	slices.SortFunc(records, func(a, b assembler.Record) int {
+		return cmp.Compare(b.Revision(), a.Revision())
+	})
+}
+
+// Current reads the configuration that stands in the store. The error is an
+// *assembler.IncompleteError if there is none.
+func Current(ctx context.Context, store storer.Store, keys assembler.Keys) (descriptor.Deployment, error) {
+	page, err := storer.Range(ctx, store, keys.Config())
+	if err != nil {
+		return descriptor.Deployment{}, err
+	}
+	return assembler.New(keys).Merge(page.Pairs())
+}
+
+// Diff returns the lines that turn the one configuration into the other, with
+// "- " and "+ " before them, and the lines between with two spaces. It is
+// empty if the configurations are equal.
+func Diff(have, wanted descriptor.Deployment) ([]string, error) {
+	before, err := parser.EncodeDeployment(have)
+	if err != nil {
+		return nil, err
+	}
+	after, err := parser.EncodeDeployment(wanted)
+	if err != nil {
+		return nil, err
+	}
+	if string(before) == string(after) {
+		return nil, nil
+	}
+	return diffLines(strings.Split(string(before), "\n"), strings.Split(string(after), "\n")), nil
+}
+
+// diffLines follows the longest common subsequence of lines, by dynamic
+// programming (Hunt and McIlroy, 1976).
+func diffLines(before, after []string) []string {
+	common := make([][]int, len(before)+1)
+	for i := range common {
+		common[i] = make([]int, len(after)+1)
+	}
+	for i := len(before) - 1; i >= 0; i-- {
+		for j := len(after) - 1; j >= 0; j-- {
+			if before[i] == after[j] {
+				common[i][j] = common[i+1][j+1] + 1
+			} else {
+				common[i][j] = max(common[i+1][j], common[i][j+1])
+			}
+		}
+	}
+	var lines []string
+	i, j := 0, 0
+	for i < len(before) || j < len(after) {
+		switch {
+		case i < len(before) && j < len(after) && before[i] == after[j]:
+			lines = append(lines, "  "+before[i])
+			i++
+			j++
+		case j == len(after) || (i < len(before) && common[i+1][j] >= common[i][j+1]):
+			lines = append(lines, "- "+before[i])
+			i++
+		default:
+			lines = append(lines, "+ "+after[j])
+			j++
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/commander/emulate.go
@@ -0,0 +1,129 @@
+package commander
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/emulator"
+	"burdocklane/registrar"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+const (
+	emulateHeaderTimeout = 10 * time.Second
+	emulateDrain         = 30 * time.Second
+)
+
+func newEmulate() *cobra.Command {
+	return group("emulate", "Run a stand-in of the platform or of a worker, for tests and experiments",
+		newEmulatePlatform(), newEmulateWorker())
+}
+
+func newEmulatePlatform() *cobra.Command {
+	var address string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a stand-in of the platform's store and list",
+		Args:  exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			socket, err := net.Listen("tcp", address)
+			if err != nil {
+				return errors.Wrap(err, "listen")
+			}
+			server := &http.Server{Handler: emulator.NewPlatform().Handler(), ReadHeaderTimeout: emulateHeaderTimeout}
+			fmt.Fprintf(cmd.OutOrStdout(), "platform at http://%s\n", socket.Addr())
+			go func() {
+				<-cmd.Context().Done()
+				server.Close()
+			}()
+			if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:2379", "host:port to listen on")
+	return cmd
+}
+
+// workerFlags describe a stand-in worker.
+type workerFlags struct {
+	id, service, address, region, zone string
+	platform, journal, behaviour       string
+	slots, reported                    int
+	zoneDelay, regionDelay             time.Duration
+}
+
+func newEmulateWorker() *cobra.Command {
+	var f workerFlags
+	cmd := &cobra.Command{
+		Use:   "worker",
+		Short: "Run a stand-in of a worker",
+		Long: `Runs a worker with slots, a queue and a log-normal service time. It lists itself
+with the stand-in platform. Its behaviour is JSON, as PUT /emulate/behaviour
+takes it; GET /emulate/journal tells which calls it really ran.`,
+		Args: exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&f.id, "id", "worker-1", "identity of the worker")
+	flags.StringVar(&f.service, "service", "", "service of the worker")
+	flags.StringVar(&f.address, "listen", "127.0.0.1:0", "host:port to listen on")
+	flags.StringVar(&f.region, "region", "local", "region of the worker")
+	flags.StringVar(&f.zone, "zone", "local-a", "availability zone of the worker")
+	flags.StringVar(&f.platform, "platform", "", "base URL of the stand-in platform to be listed with")
+	flags.StringVar(&f.journal, "journal", "", "file to keep the journal in")
+	flags.StringVar(&f.behaviour, "behaviour", "", "behaviour as JSON")
+	flags.IntVar(&f.slots, "slots", 6, "calls that the worker runs at once")
+	flags.IntVar(&f.reported, "reported-slots", 0, "slots that the worker claims to have, if not the truth")
+	flags.DurationVar(&f.zoneDelay, "zone-delay", 0, "one-way delay between availability zones")
+	flags.DurationVar(&f.regionDelay, "region-delay", 0, "one-way delay between regions")
+	return cmd
+}
+
+func (f *workerFlags) options() ([]emulator.WorkerOption, error) {
+	options := []emulator.WorkerOption{emulator.WithJournal(f.journal)}
+	if f.behaviour != "" {
+		b, err := emulator.DecodeBehaviour([]byte(f.behaviour))
+		if err != nil {
+			return nil, badInput(err)
+		}
+		options = append(options, emulator.WithBehaviour(b))
+	}
+	host, _, err := net.SplitHostPort(f.address)
+	if err != nil {
+		return nil, badInput(err)
+	}
+	return append(options, emulator.WithDelays(emulator.NewDelays(host, f.zoneDelay, f.regionDelay))), nil
+}
+
+func (f *workerFlags) run(cmd *cobra.Command) error {
+	options, err := f.options()
+	if err != nil {
+		return err
+	}
+	reported := f.reported
+	if reported == 0 {
+		reported = f.slots
+	}
+	member := registrar.NewWorker(registrar.WorkerID(f.id), descriptor.ServiceName(f.service), f.address,
+		registrar.NewPlace(f.region, f.zone), reported, false)
+	worker, err := emulator.NewWorker(member, f.slots, options...)
+	if err != nil {
+		return err
+	}
+	if f.platform != "" {
+		if err := emulator.Register(cmd.Context(), f.platform, []registrar.Worker{worker.Member()}, nil); err != nil {
+			worker.Close(0) //nolint:errcheck // The first error tells more.
+			return err
+		}
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "worker %s at %s\n", f.id, worker.Member().Address())
+	<-cmd.Context().Done()
+	return worker.Close(emulateDrain)
+}
--- /dev/null
+++ b/emulator/journal.go
@@ -0,0 +1,115 @@
+package emulator
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Entry is one call that a stand-in worker began to run.
+type Entry struct {
+	id     string
+	method string
+	path   string
+	key    string
+	worker string
+	at     time.Time
+}
+
+type entryMessage struct {
+	ID     string    `json:"request-id"`
+	Method string    `json:"method"`
+	Path   string    `json:"path"`
+	Key    string    `json:"idempotency-key,omitempty"`
+	Worker string    `json:"worker"`
+	At     time.Time `json:"at"`
+}
+
+// ID returns the request ID.
+func (e Entry) ID() string { return e.id }
+
+// Method returns the HTTP method.
+func (e Entry) Method() string { return e.method }
+
+// Path returns the path of the request.
+func (e Entry) Path() string { return e.path }
+
+// Key returns the idempotency key, or "".
+func (e Entry) Key() string { return e.key }
+
+// Worker returns the worker that ran the call.
+func (e Entry) Worker() string { return e.worker }
+
+// At returns when the call began to run.
+func (e Entry) At() time.Time { return e.at }
+
+// journal is the truth about what a worker ran. Each entry is written before
+// the call runs, so that it outlives a killed worker.
+type journal struct {
+	mutex   sync.Mutex
+	entries []Entry
+	file    *os.File
+}
+
+func newJournal(path string) (*journal, error) {
+	if path == "" {
+		return &journal{}, nil
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return &journal{file: file}, errors.Wrap(err, "open journal")
+	}
+	return &journal{file: file}, nil
+}
+
+func (j *journal) add(e Entry) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if j.file == nil {
+		j.entries = append(j.entries, e)
+		return
+	}
+	data, err := json.Marshal(e.message())
+	if err != nil {
+		return
+	}
+	j.file.Write(append(data, '\n')) //nolint:errcheck // A missing entry fails the proof that reads it.
+}
+
+func (e Entry) message() entryMessage {
+	return entryMessage{ID: e.id, Method: e.method, Path: e.path, Key: e.key, Worker: e.worker, At: e.at}
+}
+
+func (j *journal) all() []Entry {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return append([]Entry(nil), j.entries...)
+}
+
+func (j *journal) close() {
+	if j.file != nil {
+		j.file.Close()
+	}
+}
+
+// ReadJournal reads the entries of a journal file or of a worker's answer.
+func ReadJournal(r io.Reader) ([]Entry, error) {
+	var entries []Entry
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		var m entryMessage
+		if err := json.Unmarshal(scanner.Bytes(), &m); err != nil {
+			return entries, errors.Wrapf(err, "journal line %d", len(entries)+1)
+		}
+		entries = append(entries, Entry{id: m.ID, method: m.Method, path: m.Path, key: m.Key, worker: m.Worker, at: m.At})
+	}
+	if err := scanner.Err(); err != nil {
+		return entries, errors.Wrap(err, "read journal")
+	}
+	return entries, nil
+}
--- /dev/null
+++ b/emulator/register.go
@@ -0,0 +1,92 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"burdocklane/lister"
+	"burdocklane/registrar"
+
+	"github.com/go-faster/errors"
+	"github.com/gorilla/mux"
+)
+
+const mostRegistration = 1 << 20
+
+// serveRegister lists the workers and instances of a list message.
+func (p *Platform) serveRegister(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostRegistration))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	list, err := lister.Decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, worker := range list.Workers() {
+		p.SetWorker(worker)
+	}
+	for _, instance := range list.Instances() {
+		p.SetInstance(instance)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveRemoveWorker(w http.ResponseWriter, r *http.Request) {
+	p.RemoveWorker(registrar.WorkerID(mux.Vars(r)["id"]))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) serveRemoveInstance(w http.ResponseWriter, r *http.Request) {
+	p.RemoveInstance(registrar.InstanceID(mux.Vars(r)["id"]))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Register lists workers and instances with a stand-in platform at the base
+// URL.
+func Register(ctx context.Context, base string, workers []registrar.Worker, instances []registrar.Instance) error {
+	data, err := lister.Encode(registrar.NewList(0, workers, instances))
+	if err != nil {
+		return err
+	}
+	return control(ctx, http.MethodPut, base+"/list", data)
+}
+
+// Unregister takes a worker off the list of a stand-in platform.
+func Unregister(ctx context.Context, base string, worker registrar.WorkerID) error {
+	return control(ctx, http.MethodDelete, base+"/list/workers/"+url.PathEscape(string(worker)), nil)
+}
+
+func control(ctx context.Context, method, target string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "stand-in platform")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "stand-in platform")
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("stand-in platform: status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// contextUntil ends with its parent or when done is closed.
+func contextUntil(parent context.Context, done <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/inspector/client.go
@@ -0,0 +1,76 @@
+package inspector
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"burdocklane/descriptor"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	clientTimeout   = 5 * time.Second
+	mostAnswerBytes = 64 << 20
+)
+
+// StatusError reports an answer of an admin port that is not a success.
+type StatusError struct {
+	address string
+	status  int
+	message string
+}
+
+// Status returns the HTTP status.
+func (e *StatusError) Status() int { return e.status }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("admin port %s: status %d: %s", e.address, e.status, e.message)
+}
+
+// Fetch reads a page of the admin port at host:port.
+func Fetch(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "admin port")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "admin port")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "admin port")
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{address: address, status: response.StatusCode, message: string(data)}
+	}
+	return data, nil
+}
+
+// FetchExplain reads the decisions for a request ID, as JSON lines.
+func FetchExplain(ctx context.Context, address, id string) ([]byte, error) {
+	return Fetch(ctx, address, "/explain/"+url.PathEscape(id))
+}
+
+// FetchRevision reads which revision is in force at an instance, or 0.
+func FetchRevision(ctx context.Context, address string) (descriptor.Revision, error) {
+	data, err := Fetch(ctx, address, "/status")
+	if err != nil {
+		return 0, err
+	}
+	var status statusMessage
+	if err := json.Unmarshal(data, &status); err != nil {
+		return 0, errors.Wrap(err, "admin port")
+	}
+	return descriptor.Revision(status.Configuration.Revision), nil
+}
--- /dev/null
+++ b/inspector/status.go
@@ -0,0 +1,153 @@
+package inspector
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/limiter"
+	"burdocklane/publisher"
+	"burdocklane/tracker"
+)
+
+// staleAfter is how long without an answer of the store an instance cannot
+// know whether its configuration is current.
+const staleAfter = 90 * time.Second
+
+type statusMessage struct {
+	Instance      string               `json:"instance"`
+	Region        string               `json:"region"`
+	Zone          string               `json:"availability-zone"`
+	State         string               `json:"state"`
+	Configuration configurationMessage `json:"configuration"`
+	ListVersion   int64                `json:"list-version"`
+	ListContact   *time.Time           `json:"list-contact,omitempty"`
+	InFlight      int64                `json:"calls-in-flight"`
+	Violations    int64                `json:"invariant-violations"`
+	LinesDropped  int64                `json:"decision-lines-dropped"`
+	Services      []serviceMessage     `json:"services"`
+}
+
+type configurationMessage struct {
+	Revision     int64      `json:"revision"`
+	InForceSince *time.Time `json:"in-force-since,omitempty"`
+	LearntFrom   string     `json:"learnt-from,omitempty"`
+	Author       string     `json:"author,omitempty"`
+	ChangeID     string     `json:"change-id,omitempty"`
+	StoreContact *time.Time `json:"store-contact,omitempty"`
+	Current      string     `json:"current"`
+}
+
+type serviceMessage struct {
+	Service string          `json:"service"`
+	Slots   int             `json:"slots"`
+	Waiting int             `json:"waiting"`
+	MeanMs  float64         `json:"mean-ms"`
+	Retries int64           `json:"retries"`
+	Calls   int64           `json:"calls"`
+	Workers []workerMessage `json:"workers"`
+}
+
+type workerMessage struct {
+	Worker     string  `json:"worker"`
+	Address    string  `json:"address"`
+	Zone       string  `json:"availability-zone"`
+	State      string  `json:"state"`
+	InFlight   int32   `json:"in-flight"`
+	Limit      int32   `json:"limit"`
+	Share      int     `json:"share"`
+	ExpectedMs float64 `json:"expected-ms"`
+}
+
+func newStatusMessage(s Sources, leaving bool, now time.Time) statusMessage {
+	snapshot := s.publisher.Current()
+	message := statusMessage{
+		Instance:      string(s.instance.ID()),
+		Region:        s.instance.Place().Region(),
+		Zone:          s.instance.Place().Zone(),
+		State:         stateOf(snapshot, leaving),
+		Configuration: newConfigurationMessage(s, snapshot, now),
+		ListVersion:   snapshot.List().Version(),
+		ListContact:   timeOrNil(s.listContact()),
+		InFlight:      s.dispatcher.InFlight(),
+		Violations:    s.asserter.Violations(),
+		LinesDropped:  s.recorder.Dropped(),
+		Services:      []serviceMessage{},
+	}
+	for name, lane := range snapshot.Lanes() {
+		message.Services = append(message.Services, newServiceMessage(name, lane))
+	}
+	slices.SortFunc(message.Services, func(a, b serviceMessage) int { return cmp.Compare(a.Service, b.Service) })
+	return message
+}
+
+func stateOf(s *publisher.Snapshot, leaving bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case !s.Ready():
+		return "no-configuration"
+	}
+	return "ready"
+}
+
+func newConfigurationMessage(s Sources, snapshot *publisher.Snapshot, now time.Time) configurationMessage {
+	contact := s.storeContact()
+	current := "yes"
+	if contact.IsZero() || now.Sub(contact) > staleAfter {
+		current = "unknown: the store has not answered lately"
+	}
+	change := snapshot.Deployment().Change()
+	return configurationMessage{
+		Revision:     int64(snapshot.Deployment().Revision()),
+		InForceSince: timeOrNil(snapshot.Since()),
+		LearntFrom:   snapshot.Source(),
+		Author:       change.Author(),
+		ChangeID:     change.ID(),
+		StoreContact: timeOrNil(contact),
+		Current:      current,
+	}
+}
+
+func newServiceMessage(name descriptor.ServiceName, lane *publisher.Lane) serviceMessage {
+	pool := lane.Pool()
+	message := serviceMessage{
+		Service: string(name),
+		Slots:   pool.Slots(),
+		Waiting: pool.Waiting(),
+		MeanMs:  milliseconds(pool.Mean()),
+		Retries: lane.Budget().Spent(),
+		Calls:   lane.Budget().Calls(),
+		Workers: []workerMessage{},
+	}
+	for _, w := range pool.Workers() {
+		message.Workers = append(message.Workers, newWorkerMessage(pool, w))
+	}
+	return message
+}
+
+func newWorkerMessage(pool *limiter.Pool, w *tracker.Worker) workerMessage {
+	mean, now := int64(pool.Mean()), pool.Now()
+	return workerMessage{
+		Worker:     string(w.ID()),
+		Address:    w.Address(),
+		Zone:       w.Member().Place().Zone(),
+		State:      w.State(mean, now).String(),
+		InFlight:   w.InFlight(),
+		Limit:      w.Limit(),
+		Share:      w.Share(),
+		ExpectedMs: milliseconds(time.Duration(w.Expected(mean, now))),
+	}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+func timeOrNil(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
--- /dev/null
+++ b/limiter/ask.go
@@ -0,0 +1,128 @@
+// Package limiter admits calls to the slots of a service's workers: a call is
+// granted a slot, waits for one, or is refused as not run.
+package limiter
+
+import (
+	"fmt"
+	"time"
+
+	"burdocklane/registrar"
+	"burdocklane/tracker"
+)
+
+// Reason says why a call was refused. In every case it has not run.
+type Reason string
+
+// Reasons of a Refused admission.
+const (
+	ReasonNoWorker   Reason = "no-worker"
+	ReasonQueueFull  Reason = "queue-full"
+	ReasonOverload   Reason = "overload"
+	ReasonDeadline   Reason = "deadline"
+	ReasonCancelled  Reason = "cancelled"
+	ReasonNotGranted Reason = "not-granted"
+)
+
+// Ask is one request for a slot.
+type Ask struct {
+	caller   string
+	target   time.Duration
+	deadline time.Time
+	avoid    []registrar.WorkerID
+	lending  bool
+}
+
+// AskOption sets one property of an Ask.
+type AskOption func(*Ask)
+
+// WithCaller names the caller, so that one caller's calls do not overtake the
+// others' by their number.
+func WithCaller(caller string) AskOption { return func(a *Ask) { a.caller = caller } }
+
+// WithAvoid names workers that earlier attempts were sent to.
+func WithAvoid(workers ...registrar.WorkerID) AskOption {
+	return func(a *Ask) { a.avoid = workers }
+}
+
+// ForPeer marks an ask on behalf of a peer: it waits behind all own calls.
+func ForPeer() AskOption { return func(a *Ask) { a.lending = true } }
+
+// NewAsk returns an ask of a class with the target latency, which is of no use
+// after the deadline.
+func NewAsk(target time.Duration, deadline time.Time, opts ...AskOption) Ask {
+	a := Ask{target: target, deadline: deadline}
+	for _, opt := range opts {
+		opt(&a)
+	}
+	return a
+}
+
+func (a *Ask) avoids(id registrar.WorkerID) bool {
+	for _, worker := range a.avoid {
+		if worker == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Admission is the answer to an Ask: Granted or Refused.
+type Admission interface{ admission() }
+
+// Granted is the right to send one call to a worker. Release gives it back.
+type Granted struct {
+	pool   *Pool
+	worker *tracker.Worker
+	loan   *Loan
+	waited time.Duration
+	seen   Seen
+}
+
+// Refused says why no slot was granted.
+type Refused struct {
+	reason Reason
+	waited time.Duration
+	seen   Seen
+}
+
+func (Granted) admission() {}
+func (Refused) admission() {}
+
+// Worker returns the worker to send to.
+func (g Granted) Worker() *tracker.Worker { return g.worker }
+
+// Waited returns how long the call waited for the slot.
+func (g Granted) Waited() time.Duration { return g.waited }
+
+// Borrowed tells whether a peer lent the slot.
+func (g Granted) Borrowed() bool { return g.loan != nil }
+
+// Seen returns what the decision was made from.
+func (g Granted) Seen() Seen { return g.seen }
+
+// Release gives the slot back; it must be called once.
+func (g Granted) Release() { g.pool.release(g.worker, g.loan) }
+
+// Reason says why the call was refused.
+func (r Refused) Reason() Reason { return r.reason }
+
+// Waited returns how long the call waited before it was refused.
+func (r Refused) Waited() time.Duration { return r.waited }
+
+// Seen returns what the decision was made from.
+func (r Refused) Seen() Seen { return r.seen }
+
+// Seen sums up the candidates of a decision, for the decision log.
+type Seen struct {
+	total    int32
+	usable   int32
+	free     int32
+	queued   int32
+	inFlight int32
+}
+
+// String returns the counts in a fixed form for logs and explain.
+func (s Seen) String() string {
+	return fmt.Sprintf("total=%d usable=%d free=%d in-flight=%d queued=%d",
+		s.total, s.usable, s.free, s.inFlight, s.queued)
+}
--- /dev/null
+++ b/limiter/pool.go
@@ -0,0 +1,353 @@
+package limiter
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/picker"
+	"burdocklane/registrar"
+	"burdocklane/tracker"
+)
+
+const (
+	defaultQueueLimit = 1024
+	// stackCandidates workers are weighed without an allocation.
+	stackCandidates = 64
+	// acquireRaces bounds how often a lost race for a slot is run again.
+	acquireRaces = 8
+	// ejectedMost is the share of workers that may rest at once, as 1/n.
+	ejectedMost = 2
+	// overloadFactor times the target is the longest wait worth queueing for.
+	overloadFactor = 4
+)
+
+// roster is the immutable list of a service's workers. Requests load it once.
+type roster struct {
+	workers []*tracker.Worker
+	slots   int
+}
+
+// Pool admits calls to the workers of one service.
+type Pool struct {
+	service    descriptor.ServiceName
+	policy     picker.Policy
+	queueLimit int
+	self       registrar.Instance
+	started    time.Time
+	rng        *rand.Rand
+
+	roster  atomic.Pointer[roster]
+	turn    atomic.Uint64
+	mean    atomic.Int64
+	waiting atomic.Int32
+
+	mutex sync.Mutex // Guards queue, and is never held across a call.
+	queue *queue
+
+	wants chan Want
+}
+
+// Option sets one property of a Pool.
+type Option func(*Pool)
+
+// WithPolicy sets how workers are chosen. The default is picker.SharedSlots.
+func WithPolicy(p picker.Policy) Option { return func(pool *Pool) { pool.policy = p } }
+
+// WithQueueLimit sets how many calls may wait at once.
+func WithQueueLimit(calls int) Option { return func(p *Pool) { p.queueLimit = calls } }
+
+// WithRand sets the source of random choices, which must be safe for
+// concurrent use. The default draws from the runtime.
+func WithRand(rng *rand.Rand) Option { return func(p *Pool) { p.rng = rng } }
+
+// WithWants sets the channel on which the pool tells that a call is waiting
+// which a peer's idle slot would help. Nothing is sent while it is full.
+func WithWants(wants chan Want) Option { return func(p *Pool) { p.wants = wants } }
+
+// runtimeSource draws from the runtime's per-thread generator.
+type runtimeSource struct{}
+
+// Uint64 implements rand.Source.
+func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// New returns an empty pool for the service on the instance self.
+func New(service descriptor.ServiceName, self registrar.Instance, opts ...Option) *Pool {
+	p := &Pool{
+		service:    service,
+		policy:     picker.SharedSlots{},
+		queueLimit: defaultQueueLimit,
+		self:       self,
+		started:    time.Now(),
+		rng:        rand.New(runtimeSource{}),
+		queue:      newQueue(),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.roster.Store(&roster{})
+	return p
+}
+
+// Service returns the name of the pool's service.
+func (p *Pool) Service() descriptor.ServiceName { return p.service }
+
+// Workers returns the workers now known. The caller must not change the slice.
+func (p *Pool) Workers() []*tracker.Worker { return p.roster.Load().workers }
+
+// Slots returns the number of slots that belong to this instance.
+func (p *Pool) Slots() int { return p.roster.Load().slots }
+
+// Waiting returns how many of the instance's own calls wait for a slot.
+func (p *Pool) Waiting() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.queue.own()
+}
+
+// Mean returns the moving average of the service's latency.
+func (p *Pool) Mean() time.Duration { return time.Duration(p.mean.Load()) }
+
+// Now returns the time since the pool was made, the clock of its workers.
+func (p *Pool) Now() time.Duration { return time.Since(p.started) }
+
+// Update takes over the platform's list. Workers that stay keep their state;
+// workers that are gone finish the calls they hold. It must not be called from
+// two goroutines at once.
+func (p *Pool) Update(list []registrar.Worker, instances []registrar.Instance) {
+	old := p.roster.Load()
+	known := make(map[registrar.WorkerID]*tracker.Worker, len(old.workers))
+	for _, w := range old.workers {
+		known[w.ID()] = w
+	}
+	shares := Shares(list, instances, p.self)
+	next := &roster{workers: make([]*tracker.Worker, 0, len(list))}
+	for i, member := range list {
+		w := p.keepOrAdd(known, member, len(old.workers) > 0)
+		w.SetShare(shares[i])
+		next.slots += shares[i]
+		next.workers = append(next.workers, w)
+	}
+	p.roster.Store(next)
+	p.dispatch()
+}
+
+func (p *Pool) keepOrAdd(known map[registrar.WorkerID]*tracker.Worker, member registrar.Worker, cold bool) *tracker.Worker {
+	distance := p.self.Place().Distance(member.Place())
+	w := known[member.ID()]
+	if w == nil || w.Address() != member.Address() {
+		w = tracker.NewWorker(member, distance, cold)
+	} else if w.Member().Leaving() && !member.Leaving() {
+		w.Stay()
+	}
+	w.Update(member, distance)
+	if member.Leaving() {
+		w.Drain(p.Now())
+	}
+	return w
+}
+
+// Acquire grants a slot, at once or when one comes free, or refuses.
+func (p *Pool) Acquire(ctx context.Context, ask Ask) Admission {
+	since := time.Now()
+	var seen Seen
+	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
+		worker, decision := p.try(&ask, &seen)
+		switch decision.(type) {
+		case picker.Send:
+			return Granted{pool: p, worker: worker, seen: seen}
+		case picker.Refuse:
+			return Refused{reason: ReasonNoWorker, seen: seen}
+		case picker.Wait:
+		}
+	}
+	return p.wait(ctx, ask, since, seen)
+}
+
+// try picks a worker and takes a slot there. A Send decision comes with the
+// worker, whose slot is then held.
+func (p *Pool) try(ask *Ask, seen *Seen) (*tracker.Worker, picker.Decision) {
+	var buffer [stackCandidates]picker.Candidate
+	policy := p.policy
+	if _, ok := policy.(picker.RoundRobin); ok {
+		policy = picker.NewRoundRobin(p.turn.Add(1))
+	}
+	workers := p.roster.Load().workers
+	for range acquireRaces {
+		now := p.Now()
+		candidates := p.weigh(buffer[:0], workers, ask, now, seen)
+		decision := picker.Pick(policy, candidates, p.rng)
+		send, ok := decision.(picker.Send)
+		if !ok {
+			return nil, decision
+		}
+		worker := workers[send.Index()]
+		if !picker.Bounded(policy) {
+			worker.Acquire(now)
+			return worker, decision
+		}
+		if worker.TryAcquire(now) {
+			return worker, decision
+		}
+	}
+	return nil, picker.Wait{}
+}
+
+// weigh appends a candidate for each worker. When more than the allowed share
+// of workers is ejected, they are all used again.
+func (p *Pool) weigh(candidates []picker.Candidate, workers []*tracker.Worker, ask *Ask, now time.Duration, seen *Seen) []picker.Candidate {
+	mean := p.mean.Load()
+	*seen = Seen{total: int32(len(workers)), queued: p.waiting.Load()}
+	ejected := 0
+	for _, w := range workers {
+		c := w.Candidate(mean, now, ask.avoids(w.ID()))
+		candidates = append(candidates, c)
+		seen.count(c)
+		if c.State() == picker.Ejected {
+			ejected++
+		}
+	}
+	if ejected*ejectedMost > len(workers) {
+		for i := range candidates {
+			candidates[i] = candidates[i].Readmitted()
+		}
+	}
+	return candidates
+}
+
+func (s *Seen) count(c picker.Candidate) {
+	s.inFlight += c.InFlight()
+	if c.State() != picker.Usable && c.State() != picker.Suspect {
+		return
+	}
+	s.usable++
+	if c.InFlight() < c.Limit() {
+		s.free++
+	}
+}
+
+// wait puts the call into the queue until a slot, its deadline or its end.
+func (p *Pool) wait(ctx context.Context, ask Ask, since time.Time, seen Seen) Admission {
+	w := &waiter{ask: ask, since: since, ready: make(chan Granted, 1)}
+	if reason, ok := p.enqueue(w); !ok {
+		return Refused{reason: reason, seen: seen}
+	}
+	p.dispatch()
+	p.want(w)
+	timer := time.NewTimer(time.Until(ask.deadline))
+	defer timer.Stop()
+	select {
+	case granted := <-w.ready:
+		return p.granted(granted, since, seen)
+	case <-ctx.Done():
+		return p.leave(w, ReasonCancelled, since, seen)
+	case <-timer.C:
+		return p.leave(w, ReasonDeadline, since, seen)
+	}
+}
+
+func (p *Pool) granted(g Granted, since time.Time, seen Seen) Granted {
+	g.waited, g.seen = time.Since(since), seen
+	return g
+}
+
+// enqueue refuses a call that cannot be served in time.
+func (p *Pool) enqueue(w *waiter) (Reason, bool) {
+	mean := time.Duration(p.mean.Load())
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	ahead := p.queue.own()
+	if ahead >= p.queueLimit {
+		return ReasonQueueFull, false
+	}
+	slots := max(p.Slots(), 1)
+	expected := mean * time.Duration(ahead+1) / time.Duration(slots)
+	if time.Until(w.ask.deadline) < expected+mean/2 {
+		return ReasonDeadline, false
+	}
+	if !w.ask.lending && expected > overloadFactor*w.ask.target {
+		return ReasonOverload, false
+	}
+	p.queue.add(w, mean)
+	p.waiting.Add(1)
+	return "", true
+}
+
+// leave takes w out of the queue. A grant that came meanwhile is used if the
+// call can still use it.
+func (p *Pool) leave(w *waiter, reason Reason, since time.Time, seen Seen) Admission {
+	p.mutex.Lock()
+	removed := p.queue.remove(w)
+	p.mutex.Unlock()
+	if removed {
+		p.waiting.Add(-1)
+	} else {
+		granted := <-w.ready
+		granted.Release()
+	}
+	return Refused{reason: reason, waited: time.Since(since), seen: seen}
+}
+
+// dispatch hands free slots to the calls that wait, the most urgent first. The
+// slot of a release that sees no waiter, and the waiter that sees no slot,
+// cannot miss each other: each writes its own side before it reads the other's.
+func (p *Pool) dispatch() {
+	if p.waiting.Load() == 0 {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var seen Seen
+	for {
+		head := p.queue.head()
+		if head == nil {
+			return
+		}
+		worker, decision := p.try(&head.ask, &seen)
+		if _, ok := decision.(picker.Send); !ok {
+			return
+		}
+		p.hand(head, Granted{pool: p, worker: worker})
+	}
+}
+
+// hand gives a grant to a waiter; the caller holds the mutex.
+func (p *Pool) hand(w *waiter, g Granted) {
+	p.queue.remove(w)
+	p.waiting.Add(-1)
+	w.ready <- g
+}
+
+func (p *Pool) release(worker *tracker.Worker, loan *Loan) {
+	if loan != nil {
+		p.releaseLoan(loan)
+		return
+	}
+	worker.Release(p.Now())
+	p.dispatch()
+}
+
+// Observe adds a good answer's latency to the service's moving average.
+func (p *Pool) Observe(latency time.Duration) {
+	const weight = 0.05
+	old := p.mean.Load()
+	if old == 0 {
+		p.mean.CompareAndSwap(0, int64(latency))
+		return
+	}
+	p.mean.CompareAndSwap(old, int64((1-weight)*float64(old)+weight*float64(latency)))
+}
+
+// Find returns the worker with the ID, or nil.
+func (p *Pool) Find(id registrar.WorkerID) *tracker.Worker {
+	workers := p.roster.Load().workers
+	at := slices.IndexFunc(workers, func(w *tracker.Worker) bool { return w.ID() == id })
+	if at < 0 {
+		return nil
+	}
+	return workers[at]
+}
--- /dev/null
+++ b/limiter/share.go
@@ -0,0 +1,155 @@
+package limiter
+
+import (
+	"math"
+	"slices"
+	"strconv"
+
+	"burdocklane/registrar"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Shares returns how many slots of each worker belong to the instance self.
+// Each instance computes it alone from the lists, so that instances with the
+// same lists agree without a message. The slots of a worker belong to the live
+// instances of its region, and of regions without a worker of the service.
+//
+// Each slot goes to the instance with the highest hash for it (Thaler and
+// Ravishankar, "Using name-based mappings to increase hit rates", 1998) that
+// holds less than its even part, rounded up (Mirrokni, Thorup and
+// Zadimoghaddam, "Consistent hashing with bounded loads", 2018).
+//
+// The list lags, so self counts as live even before it is listed. When there
+// are more instances than slots, an instance that got none still may use one
+// slot: the worker's own queue absorbs the overcommitment.
+func Shares(workers []registrar.Worker, instances []registrar.Instance, self registrar.Instance) []int {
+	shares := make([]int, len(workers))
+	for _, group := range groupByRegion(workers, withSelf(instances, self)) {
+		group.deal(workers, self.ID(), shares)
+	}
+	if len(workers) > 0 && slices.Max(shares) == 0 {
+		shares[fallbackWorker(workers, self)] = 1
+	}
+	return shares
+}
+
+func withSelf(instances []registrar.Instance, self registrar.Instance) []registrar.Instance {
+	listed := slices.ContainsFunc(instances, func(i registrar.Instance) bool { return i.ID() == self.ID() })
+	if listed {
+		return instances
+	}
+	return append(slices.Clone(instances), self)
+}
+
+// fallbackWorker is the nearest worker with the highest hash for self.
+func fallbackWorker(workers []registrar.Worker, self registrar.Instance) int {
+	best, bestDistance, bestScore := 0, math.MaxInt, uint64(0)
+	for i, w := range workers {
+		distance := self.Place().Distance(w.Place())
+		score := xxhash.Sum64String(string(w.ID()) + "/" + string(self.ID()))
+		if distance < bestDistance || (distance == bestDistance && score > bestScore) {
+			best, bestDistance, bestScore = i, distance, score
+		}
+	}
+	return best
+}
+
+// group is the workers of one region and the instances that share them.
+type group struct {
+	workers []int
+	holders []registrar.InstanceID
+}
+
+func groupByRegion(workers []registrar.Worker, instances []registrar.Instance) []group {
+	served := map[string]*group{}
+	regions := []string{}
+	for i, w := range workers {
+		region := w.Place().Region()
+		if served[region] == nil {
+			served[region] = &group{}
+			regions = append(regions, region)
+		}
+		served[region].workers = append(served[region].workers, i)
+	}
+	var homeless []registrar.InstanceID
+	for _, instance := range instances {
+		if instance.Leaving() {
+			continue
+		}
+		if g := served[instance.Place().Region()]; g != nil {
+			g.holders = append(g.holders, instance.ID())
+			continue
+		}
+		homeless = append(homeless, instance.ID())
+	}
+	groups := make([]group, 0, len(regions))
+	for _, region := range regions {
+		g := served[region]
+		g.holders = append(g.holders, homeless...)
+		if len(g.holders) == 0 {
+			g.holders = allLive(instances)
+		}
+		groups = append(groups, *g)
+	}
+	return groups
+}
+
+func allLive(instances []registrar.Instance) []registrar.InstanceID {
+	var ids []registrar.InstanceID
+	for _, instance := range instances {
+		if !instance.Leaving() {
+			ids = append(ids, instance.ID())
+		}
+	}
+	return ids
+}
+
+func (g group) deal(workers []registrar.Worker, self registrar.InstanceID, shares []int) {
+	total := 0
+	for _, i := range g.workers {
+		total += workers[i].Slots()
+	}
+	if len(g.holders) == 0 || total == 0 {
+		return
+	}
+	most := (total + len(g.holders) - 1) / len(g.holders)
+	held := make([]int, len(g.holders))
+	order := slices.Clone(g.workers)
+	slices.SortFunc(order, func(a, b int) int {
+		return compareIDs(workers[a].ID(), workers[b].ID())
+	})
+	for _, i := range order {
+		for slot := range workers[i].Slots() {
+			holder := g.holderOf(workers[i].ID(), slot, held, most)
+			held[holder]++
+			if g.holders[holder] == self {
+				shares[i]++
+			}
+		}
+	}
+}
+
+func (g group) holderOf(worker registrar.WorkerID, slot int, held []int, most int) int {
+	best, bestScore := -1, uint64(0)
+	key := string(worker) + "/" + strconv.Itoa(slot) + "/"
+	for i, id := range g.holders {
+		if held[i] >= most {
+			continue
+		}
+		if score := xxhash.Sum64String(key + string(id)); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func compareIDs(a, b registrar.WorkerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/listener/attempt.go
@@ -0,0 +1,124 @@
+package listener
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"burdocklane/classifier"
+	"burdocklane/registrar"
+	"burdocklane/retrier"
+	"burdocklane/sender"
+)
+
+// exchange is one caller's request with the responses of its attempts.
+type exchange struct {
+	sender  *sender.Sender
+	drained func(*classifier.Call, registrar.Worker)
+	request *http.Request
+	id      string
+	body    *requestBody
+
+	mutex     sync.Mutex // Guards responses: hedged attempts end at any time.
+	responses [retrier.MostAttempts]*http.Response
+}
+
+// transmit makes one attempt; it is a dispatcher.Transmit.
+func (x *exchange) transmit(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result {
+	switch o := x.sender.Send(ctx, x.outgoing(call, worker)).(type) {
+	case sender.Answer:
+		return x.answered(attempt, call, worker, o.Response())
+	case sender.Unsent:
+		return retrier.NewUnsent(o.Err())
+	case sender.Lost:
+		return retrier.NewLost(o.Err())
+	}
+	return retrier.NewLost(nil)
+}
+
+func (x *exchange) answered(attempt int, call *classifier.Call, worker registrar.Worker, response *http.Response) retrier.Result {
+	if response.Header.Get(HeaderDrain) != "" {
+		response.Header.Del(HeaderDrain)
+		x.drained(call, worker)
+	}
+	if response.StatusCode >= http.StatusTooManyRequests {
+		bufferError(response)
+	}
+	x.mutex.Lock()
+	x.responses[attempt] = response
+	x.mutex.Unlock()
+	if call.Service().NotRun(response.StatusCode) {
+		return retrier.NewDeclined(response.StatusCode, retryAfter(response.Header))
+	}
+	return retrier.NewAnswered(response.StatusCode)
+}
+
+func (x *exchange) response(attempt int) *http.Response {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return x.responses[attempt]
+}
+
+const longestBufferedError = 16 << 10
+
+// bufferError reads the short body of an error answer, so that the connection
+// can be used again when the answer is not passed on.
+func bufferError(response *http.Response) {
+	if response.ContentLength < 0 || response.ContentLength > longestBufferedError {
+		return
+	}
+	data, err := io.ReadAll(response.Body)
+	if err != nil || int64(len(data)) < response.ContentLength {
+		return
+	}
+	response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(data))
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// outgoing is the request to the worker. It has no GetBody, on purpose.
+func (x *exchange) outgoing(call *classifier.Call, worker registrar.Worker) *http.Request {
+	in := x.request
+	target := *in.URL
+	target.Scheme, target.Host = "http", worker.Address()
+	header := in.Header.Clone()
+	removeHopByHop(header)
+	header.Del("Expect")
+	header.Set(HeaderRequestID, x.id)
+	header.Set(HeaderTimeout, formatTimeout(time.Until(call.Deadline())))
+	addForwardedFor(header, in)
+	if _, ok := header["User-Agent"]; !ok {
+		header.Set("User-Agent", "") // Keeps net/http from adding its own.
+	}
+	return &http.Request{
+		Method:        in.Method,
+		URL:           &target,
+		Host:          in.Host,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        header,
+		Body:          x.body.open(),
+		ContentLength: x.body.length,
+		Trailer:       x.body.trailer,
+	}
+}
+
+func addForwardedFor(h http.Header, in *http.Request) {
+	peer := callerOf(&http.Request{RemoteAddr: in.RemoteAddr, Header: http.Header{}})
+	if earlier := h.Get(HeaderForwardedFor); earlier != "" {
+		peer = earlier + ", " + peer
+	}
+	h.Set(HeaderForwardedFor, peer)
+}
--- /dev/null
+++ b/listener/body.go
@@ -0,0 +1,62 @@
+package listener
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"time"
+)
+
+// requestBody is the body of a caller's request. A short one is kept, so that
+// it can be sent again; a longer one is streamed to a single attempt.
+type requestBody struct {
+	kept     []byte
+	stream   io.ReadCloser
+	length   int64
+	trailer  http.Header
+	replayed bool
+}
+
+// readBody keeps the body if its declared length is at most the given bytes.
+func readBody(r *http.Request, stream io.ReadCloser, most int64) (*requestBody, error) {
+	b := &requestBody{stream: stream, length: r.ContentLength, trailer: r.Trailer}
+	if r.ContentLength < 0 || r.ContentLength > most || len(r.Trailer) > 0 {
+		return b, nil
+	}
+	b.replayed = true
+	if r.ContentLength == 0 {
+		return b, nil
+	}
+	b.kept = make([]byte, r.ContentLength)
+	_, err := io.ReadFull(stream, b.kept)
+	return b, err
+}
+
+// replayable tells whether open gives the same bytes each time.
+func (b *requestBody) replayable() bool { return b.replayed }
+
+func (b *requestBody) open() io.ReadCloser {
+	if b.replayed {
+		return io.NopCloser(bytes.NewReader(b.kept))
+	}
+	return b.stream
+}
+
+// timedBody gives up when a caller sends nothing for the timeout.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	if err := b.control.SetReadDeadline(time.Now().Add(b.timeout)); err != nil {
+		return 0, err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.control.SetReadDeadline(time.Time{}) //nolint:errcheck // The read has its own error.
+	}
+	return n, err
+}
--- /dev/null
+++ b/lister/message.go
@@ -0,0 +1,110 @@
+// Package lister reads the platform's lagging list of workers and instances,
+// and serves one for the stand-in of the platform.
+package lister
+
+import (
+	"encoding/json"
+
+	"burdocklane/descriptor"
+	"burdocklane/registrar"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+)
+
+type workerMessage struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Region  string `json:"region"`
+	Zone    string `json:"availability-zone"`
+	Slots   int    `json:"slots"`
+	State   string `json:"state"`
+}
+
+type instanceMessage struct {
+	ID     string `json:"id"`
+	Peers  string `json:"peers"`
+	Admin  string `json:"admin"`
+	Region string `json:"region"`
+	Zone   string `json:"availability-zone"`
+	State  string `json:"state"`
+}
+
+type listMessage struct {
+	Version   int64             `json:"version"`
+	Workers   []workerMessage   `json:"workers"`
+	Instances []instanceMessage `json:"instances"`
+}
+
+// mostSlots bounds what a worker can claim to run at once.
+const mostSlots = 1 << 12
+
+// Decode reads a list. Slots below one count as one.
+func Decode(data []byte) (registrar.List, error) {
+	var message listMessage
+	if err := json.Unmarshal(data, &message); err != nil {
+		return registrar.List{}, errors.Wrap(err, "decode the platform's list")
+	}
+	workers := make([]registrar.Worker, 0, len(message.Workers))
+	for _, w := range message.Workers {
+		workers = append(workers, w.worker())
+	}
+	instances := make([]registrar.Instance, 0, len(message.Instances))
+	for _, i := range message.Instances {
+		instances = append(instances, i.instance())
+	}
+	return registrar.NewList(message.Version, workers, instances), nil
+}
+
+func (m workerMessage) worker() registrar.Worker {
+	slots := min(max(m.Slots, 1), mostSlots)
+	return registrar.NewWorker(registrar.WorkerID(m.ID), descriptor.ServiceName(m.Service), m.Address,
+		registrar.NewPlace(m.Region, m.Zone), slots, m.State == stateLeaving)
+}
+
+func (m instanceMessage) instance() registrar.Instance {
+	return registrar.NewInstance(registrar.InstanceID(m.ID), m.Peers, m.Admin,
+		registrar.NewPlace(m.Region, m.Zone), m.State == stateLeaving)
+}
+
+// Encode writes a list that Decode reads back.
+func Encode(l registrar.List) ([]byte, error) {
+	message := listMessage{Version: l.Version(), Workers: []workerMessage{}, Instances: []instanceMessage{}}
+	for _, w := range l.Workers() {
+		message.Workers = append(message.Workers, newWorkerMessage(w))
+	}
+	for _, i := range l.Instances() {
+		message.Instances = append(message.Instances, newInstanceMessage(i))
+	}
+	data, err := json.Marshal(message)
+	if err != nil {
+		return data, errors.Wrap(err, "encode list")
+	}
+	return data, nil
+}
+
+func newWorkerMessage(w registrar.Worker) workerMessage {
+	return workerMessage{
+		ID: string(w.ID()), Service: string(w.Service()), Address: w.Address(),
+		Region: w.Place().Region(), Zone: w.Place().Zone(), Slots: w.Slots(), State: stateText(w.Leaving()),
+	}
+}
+
+func newInstanceMessage(i registrar.Instance) instanceMessage {
+	return instanceMessage{
+		ID: string(i.ID()), Peers: i.Peers(), Admin: i.Admin(),
+		Region: i.Place().Region(), Zone: i.Place().Zone(), State: stateText(i.Leaving()),
+	}
+}
+
+func stateText(leaving bool) string {
+	if leaving {
+		return stateLeaving
+	}
+	return stateLive
+}
--- /dev/null
+++ b/parser/encode.go
@@ -0,0 +1,79 @@
+package parser
+
+import (
+	"encoding/json"
+
+	"burdocklane/descriptor"
+
+	"github.com/go-faster/errors"
+)
+
+type targetMessage struct {
+	Latency  string  `json:"latency"`
+	Quantile float64 `json:"quantile"`
+}
+
+type classMessage struct {
+	Methods  []string      `json:"methods,omitempty"`
+	Paths    []string      `json:"paths"`
+	Repeat   string        `json:"repeat"`
+	Target   targetMessage `json:"target"`
+	Deadline string        `json:"deadline"`
+}
+
+type serviceMessage struct {
+	NotRunStatuses []int                   `json:"not-run-statuses,omitempty"`
+	Classes        map[string]classMessage `json:"classes"`
+}
+
+type measuringMessage struct {
+	BytesPerSecond int64   `json:"bytes-per-second"`
+	WorkerShare    float64 `json:"worker-share"`
+}
+
+type deploymentMessage struct {
+	Deployment string                    `json:"deployment"`
+	Measuring  measuringMessage          `json:"measuring"`
+	Services   map[string]serviceMessage `json:"services"`
+}
+
+// EncodeDeployment returns d as indented JSON that Deployment reads back.
+func EncodeDeployment(d descriptor.Deployment) ([]byte, error) {
+	message := deploymentMessage{
+		Deployment: d.Name(),
+		Measuring:  measuringMessage{BytesPerSecond: d.Measuring().BytesPerSecond(), WorkerShare: d.Measuring().WorkerShare()},
+		Services:   map[string]serviceMessage{},
+	}
+	for _, s := range d.Services() {
+		message.Services[string(s.Name())] = newServiceMessage(s)
+	}
+	data, err := json.MarshalIndent(message, "", "  ")
+	if err != nil {
+		return data, errors.Wrap(err, "encode deployment")
+	}
+	return data, nil
+}
+
+// EncodeService returns s as the compact JSON that the store keeps and Service
+// reads back. Equal services give equal bytes.
+func EncodeService(s descriptor.Service) ([]byte, error) {
+	data, err := json.Marshal(newServiceMessage(s))
+	if err != nil {
+		return data, errors.Wrapf(err, "encode service %s", s.Name())
+	}
+	return data, nil
+}
+
+func newServiceMessage(s descriptor.Service) serviceMessage {
+	message := serviceMessage{NotRunStatuses: s.NotRunStatuses(), Classes: map[string]classMessage{}}
+	for _, c := range s.Classes() {
+		message.Classes[string(c.Name())] = classMessage{
+			Methods:  c.Methods(),
+			Paths:    c.Paths(),
+			Repeat:   descriptor.RepeatText(c.Repeat()),
+			Target:   targetMessage{Latency: c.Target().Latency().String(), Quantile: c.Target().Quantile()},
+			Deadline: c.Deadline().String(),
+		}
+	}
+	return message
+}
--- /dev/null
+++ b/picker/policy.go
@@ -0,0 +1,200 @@
+package picker
+
+import "math/rand/v2"
+
+// Policy is a way to choose a worker: one of Random, RoundRobin,
+// LeastInFlight, TwoChoices, ProbePool or SharedSlots.
+type Policy interface{ policy() }
+
+// Random sends to any usable worker.
+type Random struct{}
+
+// RoundRobin sends to the usable workers in turn.
+type RoundRobin struct{ turn uint64 }
+
+// LeastInFlight sends to the worker with the fewest own calls in flight.
+type LeastInFlight struct{}
+
+// TwoChoices draws two workers and sends to the one with fewer own calls in
+// flight (Mitzenmacher, "The Power of Two Choices in Randomized Load
+// Balancing", 2001).
+type TwoChoices struct{}
+
+// ProbePool sends to the worker with the best recently probed state
+// (Wydrowski et al., "Load is not what you should balance: Introducing
+// Prequal", 2024): lowest latency among those not hot, nearest zone first.
+type ProbePool struct{}
+
+// SharedSlots sends only where the instance holds a free slot, and else lets
+// the call wait for one. Observed speed orders the free slots.
+type SharedSlots struct{}
+
+func (Random) policy()        {}
+func (RoundRobin) policy()    {}
+func (LeastInFlight) policy() {}
+func (TwoChoices) policy()    {}
+func (ProbePool) policy()     {}
+func (SharedSlots) policy()   {}
+
+// NewRoundRobin returns the policy at the given turn.
+func NewRoundRobin(turn uint64) RoundRobin { return RoundRobin{turn: turn} }
+
+// Bounded tells whether p keeps each worker at or under its limit.
+func Bounded(p Policy) bool {
+	_, ok := p.(SharedSlots)
+	return ok
+}
+
+// Pick chooses among the candidates.
+func Pick(p Policy, candidates []Candidate, rng *rand.Rand) Decision {
+	switch p := p.(type) {
+	case Random:
+		return pickRandom(candidates, rng.IntN(max(len(candidates), 1)))
+	case RoundRobin:
+		return pickRandom(candidates, int(p.turn%uint64(max(len(candidates), 1))))
+	case LeastInFlight:
+		return pickLeast(candidates, rng, byInFlight)
+	case TwoChoices:
+		return pickTwo(candidates, rng)
+	case ProbePool:
+		return pickLeast(candidates, rng, byProbe)
+	case SharedSlots:
+		return pickFree(candidates, rng)
+	}
+	return Refuse{}
+}
+
+// pickRandom takes the first usable candidate at or after the start.
+func pickRandom(candidates []Candidate, start int) Decision {
+	fallback := -1
+	for i := range candidates {
+		at := (start + i) % len(candidates)
+		c := &candidates[at]
+		if !routable(c.state) {
+			continue
+		}
+		if !c.avoid {
+			return Send{index: int32(at)}
+		}
+		fallback = at
+	}
+	if fallback >= 0 {
+		return Send{index: int32(fallback)}
+	}
+	return Refuse{}
+}
+
+func pickTwo(candidates []Candidate, rng *rand.Rand) Decision {
+	if len(candidates) == 0 {
+		return Refuse{}
+	}
+	first, ok := pickRandom(candidates, rng.IntN(len(candidates))).(Send)
+	if !ok {
+		return Refuse{}
+	}
+	second, _ := pickRandom(candidates, rng.IntN(len(candidates))).(Send)
+	a, b := &candidates[first.index], &candidates[second.index]
+	if b.inFlight < a.inFlight && !b.avoid {
+		return second
+	}
+	return first
+}
+
+// pickLeast takes the usable candidate with the least score and breaks ties
+// at random.
+func pickLeast(candidates []Candidate, rng *rand.Rand, score func(*Candidate) int64) Decision {
+	best, bestScore, ties := -1, int64(0), 0
+	for i := range candidates {
+		c := &candidates[i]
+		if !routable(c.state) {
+			continue
+		}
+		s := score(c)
+		switch {
+		case best < 0 || s < bestScore:
+			best, bestScore, ties = i, s, 1
+		case s == bestScore:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return Refuse{}
+	}
+	return Send{index: int32(best)}
+}
+
+const (
+	avoidPenalty   = int64(1) << 50
+	suspectPenalty = int64(1) << 48
+	tierPenalty    = int64(1) << 40
+)
+
+func byInFlight(c *Candidate) int64 {
+	score := int64(c.inFlight)
+	if c.avoid {
+		score += avoidPenalty
+	}
+	return score
+}
+
+// byProbe treats a worker as hot when it has more calls than slots; the cold
+// one with the least latency wins, then the hot one with the fewest calls.
+func byProbe(c *Candidate) int64 {
+	score := c.latency + int64(c.distance)*tierPenalty
+	if load := c.remote + c.inFlight; load >= c.limit {
+		score = suspectPenalty + int64(load)*tierPenalty
+	}
+	if c.avoid {
+		score += avoidPenalty
+	}
+	return score
+}
+
+func byExpectedLatency(c *Candidate) int64 {
+	score := c.latency
+	if c.state == Suspect {
+		score += suspectPenalty
+	}
+	if c.avoid {
+		score += avoidPenalty
+	}
+	return score
+}
+
+// pickFree never leaves a free slot idle while a call waits: suspicion and
+// slowness only order the free slots.
+func pickFree(candidates []Candidate, rng *rand.Rand) Decision {
+	best, bestScore, ties, usable := -1, int64(0), 0, false
+	for i := range candidates {
+		c := &candidates[i]
+		if !routable(c.state) {
+			continue
+		}
+		usable = true
+		if c.inFlight >= c.limit {
+			continue
+		}
+		s := byExpectedLatency(c)
+		switch {
+		case best < 0 || s < bestScore:
+			best, bestScore, ties = i, s, 1
+		case s == bestScore:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	switch {
+	case best >= 0:
+		return Send{index: int32(best)}
+	case usable:
+		return Wait{}
+	}
+	return Refuse{}
+}
+
+func routable(s State) bool { return s == Usable || s == Suspect }
--- /dev/null
+++ b/recorder/decision.go
@@ -0,0 +1,89 @@
+// Package recorder writes the decision log, one JSON line for each routing
+// decision, and keeps the latest decisions for explain. It never holds up a
+// call: when its buffer is full, lines are dropped and counted.
+package recorder
+
+import (
+	"fmt"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/registrar"
+
+	"github.com/rs/zerolog"
+)
+
+// Decision is one routing decision: what was chosen for a call, and why.
+type Decision struct {
+	id      string
+	at      time.Time
+	service descriptor.ServiceName
+	class   descriptor.ClassName
+	attempt int
+	choice  string
+	reason  string
+	worker  registrar.WorkerID
+	seen    fmt.Stringer
+	waited  time.Duration
+	took    time.Duration
+	status  int
+}
+
+// DecisionOption sets one property of a Decision.
+type DecisionOption func(*Decision)
+
+// WithClass sets the service and class of the call.
+func WithClass(s descriptor.ServiceName, c descriptor.ClassName) DecisionOption {
+	return func(d *Decision) { d.service, d.class = s, c }
+}
+
+// WithAttempt sets the number of the attempt, from 1, and its worker.
+func WithAttempt(attempt int, worker registrar.WorkerID) DecisionOption {
+	return func(d *Decision) { d.attempt, d.worker = attempt, worker }
+}
+
+// WithSeen sets the summary of the candidates that the decision was made from.
+func WithSeen(seen fmt.Stringer) DecisionOption { return func(d *Decision) { d.seen = seen } }
+
+// WithTimes sets how long the call waited and how long it took so far.
+func WithTimes(waited, took time.Duration) DecisionOption {
+	return func(d *Decision) { d.waited, d.took = waited, took }
+}
+
+// WithStatus sets the status of the answer.
+func WithStatus(status int) DecisionOption { return func(d *Decision) { d.status = status } }
+
+// NewDecision returns the decision for the call with the request ID.
+func NewDecision(id string, at time.Time, choice, reason string, opts ...DecisionOption) Decision {
+	d := Decision{id: id, at: at, choice: choice, reason: reason}
+	for _, opt := range opts {
+		opt(&d)
+	}
+	return d
+}
+
+// ID returns the request ID of the call.
+func (d Decision) ID() string { return d.id }
+
+// MarshalZerologObject implements zerolog.LogObjectMarshaler.
+func (d Decision) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("request-id", d.id).
+		Time("at", d.at).
+		Str("choice", d.choice).
+		Str("reason", d.reason)
+	if d.service != "" {
+		e.Str("service", string(d.service)).Str("class", string(d.class))
+	}
+	if d.attempt > 0 {
+		e.Int("attempt", d.attempt).Str("worker", string(d.worker))
+	}
+	if d.seen != nil {
+		e.Stringer("candidates", d.seen)
+	}
+	if d.status != 0 {
+		e.Int("status", d.status)
+	}
+	const perMillisecond = float64(time.Millisecond)
+	e.Float64("waited-ms", float64(d.waited)/perMillisecond)
+	e.Float64("took-ms", float64(d.took)/perMillisecond)
+}
--- /dev/null
+++ b/storer/gateway.go
@@ -0,0 +1,229 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	defaultCallTimeout = 3 * time.Second
+	mostMessageBytes   = 8 << 20
+	deleteEvent        = "DELETE"
+)
+
+// Gateway is a store that speaks etcd v3's JSON gateway.
+type Gateway struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+	reads   atomic.Int64
+	writes  atomic.Int64
+	bytes   atomic.Int64
+}
+
+// GatewayOption sets one property of a Gateway.
+type GatewayOption func(*Gateway)
+
+// WithCallTimeout sets how long one call may take; a watch has no limit.
+func WithCallTimeout(d time.Duration) GatewayOption { return func(g *Gateway) { g.timeout = d } }
+
+// NewGateway returns a store at the base URL.
+func NewGateway(base string, opts ...GatewayOption) *Gateway {
+	g := &Gateway{
+		base:    strings.TrimSuffix(base, "/"),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		timeout: defaultCallTimeout,
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// Close closes the unused connections.
+func (g *Gateway) Close() { g.client.CloseIdleConnections() }
+
+// Reads returns the number of read calls made, with each watch as one.
+func (g *Gateway) Reads() int64 { return g.reads.Load() }
+
+// Writes returns the number of write calls made.
+func (g *Gateway) Writes() int64 { return g.writes.Load() }
+
+// Bytes returns the bytes of messages sent and received, without headers.
+func (g *Gateway) Bytes() int64 { return g.bytes.Load() }
+
+// prefixEnd is the end of the range of all keys with the prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+func (g *Gateway) rangePrefix(ctx context.Context, prefix string) (Page, error) {
+	g.reads.Add(1)
+	var answer rangeResponse
+	request := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := call(ctx, g, "range", "/v3/kv/range", request, &answer); err != nil {
+		return Page{}, err
+	}
+	page := Page{revision: answer.Header.Revision, pairs: make([]Pair, 0, len(answer.Kvs))}
+	for _, kv := range answer.Kvs {
+		page.pairs = append(page.pairs, kv.pair())
+	}
+	return page, nil
+}
+
+func (kv keyValue) pair() Pair {
+	return Pair{key: string(kv.Key), value: kv.Value, revision: kv.ModRevision}
+}
+
+func (g *Gateway) commit(ctx context.Context, t Txn) (Committed, error) {
+	g.writes.Add(1)
+	var request txnRequest
+	for _, c := range t.compares {
+		request.Compare = append(request.Compare, compareMessage{
+			Key: []byte(c.key), Target: "MOD", Result: "EQUAL", ModRevision: c.revision,
+		})
+	}
+	for _, w := range t.writes {
+		request.Success = append(request.Success, w.message())
+	}
+	var answer txnResponse
+	if err := call(ctx, g, "txn", "/v3/kv/txn", request, &answer); err != nil {
+		return Committed{}, err
+	}
+	return Committed{succeeded: answer.Succeeded, revision: answer.Header.Revision}, nil
+}
+
+func (w write) message() requestOp {
+	if w.deleted {
+		return requestOp{RequestDeleteRange: &deleteRangeRequest{Key: []byte(w.key)}}
+	}
+	return requestOp{RequestPut: &putRequest{Key: []byte(w.key), Value: w.value, Lease: w.lease}}
+}
+
+func (g *Gateway) grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	g.writes.Add(1)
+	var answer leaseResponse
+	err := call(ctx, g, "lease grant", "/v3/lease/grant", leaseGrantRequest{TTL: int64(ttl.Seconds())}, &answer)
+	return answer.ID, err
+}
+
+func (g *Gateway) keepAlive(ctx context.Context, id int64) (bool, error) {
+	g.writes.Add(1)
+	var answer leaseKeepAliveResponse
+	err := call(ctx, g, "lease keepalive", "/v3/lease/keepalive", leaseRequest{ID: id}, &answer)
+	return answer.Result.TTL > 0, err
+}
+
+func (g *Gateway) revoke(ctx context.Context, id int64) error {
+	g.writes.Add(1)
+	return call(ctx, g, "lease revoke", "/v3/lease/revoke", leaseRequest{ID: id}, &leaseResponse{})
+}
+
+// call posts one message and reads one answer.
+func call[Q, A any](ctx context.Context, g *Gateway, operation, path string, request Q, answer *A) error {
+	ctx, cancel := context.WithTimeout(ctx, g.timeout)
+	defer cancel()
+	response, err := post(ctx, g, operation, path, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostMessageBytes))
+	if err != nil {
+		return errors.Wrapf(err, "store: %s", operation)
+	}
+	g.bytes.Add(int64(len(data)))
+	if err := json.Unmarshal(data, answer); err != nil {
+		return errors.Wrapf(err, "store: %s", operation)
+	}
+	return nil
+}
+
+func post[Q any](ctx context.Context, g *Gateway, operation, path string, request Q) (*http.Response, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "store: %s", operation)
+	}
+	g.bytes.Add(int64(len(body)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, g.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "store: %s", operation)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.GetBody = nil // No second send by the transport: the answer may be lost.
+	response, err := g.client.Do(r)
+	if err != nil {
+		return nil, errors.Wrapf(err, "store: %s", operation)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		message, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return nil, &StatusError{operation: operation, status: response.StatusCode, message: string(message)}
+	}
+	return response, nil
+}
+
+// watch reads the stream of a watch until it breaks.
+func (g *Gateway) watch(ctx context.Context, prefix string, from int64, receive func(Batch)) error {
+	g.reads.Add(1)
+	request := watchRequest{CreateRequest: watchCreateRequest{
+		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from,
+	}}
+	response, err := post(ctx, g, "watch", "/v3/watch", request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(&countingReader{from: response.Body, count: &g.bytes})
+	for {
+		var message watchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return errors.Wrap(err, "store: watch")
+		}
+		result := message.Result
+		if result.CompactRevision > 0 {
+			return &CompactedError{revision: result.CompactRevision}
+		}
+		if result.Canceled {
+			return errors.New("store: watch was cancelled")
+		}
+		if len(result.Events) > 0 {
+			receive(newBatch(result))
+		}
+	}
+}
+
+func newBatch(result watchResult) Batch {
+	batch := Batch{revision: result.Header.Revision}
+	for _, e := range result.Events {
+		batch.events = append(batch.events, Event{pair: e.Kv.pair(), deleted: e.Type == deleteEvent})
+	}
+	return batch
+}
+
+type countingReader struct {
+	from  io.Reader
+	count *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/storer/store.go
@@ -0,0 +1,223 @@
+// Package storer speaks to the platform's key-value store: compare-and-swap,
+// leases and watches.
+package storer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Store is a key-value store: *Gateway or *Memory.
+type Store interface{ store() }
+
+func (*Gateway) store() {}
+func (*Memory) store()  {}
+
+// Pair is a key with its value, and the store's revision of its last change.
+type Pair struct {
+	key      string
+	value    []byte
+	revision int64
+}
+
+// NewPair returns a pair as the store holds it.
+func NewPair(key string, value []byte, revision int64) Pair {
+	return Pair{key: key, value: value, revision: revision}
+}
+
+// Key returns the key.
+func (p Pair) Key() string { return p.key }
+
+// Value returns the value. The caller must not change it.
+func (p Pair) Value() []byte { return p.value }
+
+// Revision returns the store's revision at which the pair was last changed.
+func (p Pair) Revision() int64 { return p.revision }
+
+// Page is the answer to a range read: the pairs and the store's revision.
+type Page struct {
+	pairs    []Pair
+	revision int64
+}
+
+// Pairs returns the pairs in the order of their keys.
+func (p Page) Pairs() []Pair { return p.pairs }
+
+// Revision returns the store's revision at the time of the read.
+func (p Page) Revision() int64 { return p.revision }
+
+// Event is a change of one key.
+type Event struct {
+	pair    Pair
+	deleted bool
+}
+
+// Pair returns the key and its new value.
+func (e Event) Pair() Pair { return e.pair }
+
+// Deleted tells whether the key is gone.
+func (e Event) Deleted() bool { return e.deleted }
+
+// Batch is the events of one or more whole transactions.
+type Batch struct {
+	events   []Event
+	revision int64
+}
+
+// Events returns the events in the order of their revisions.
+func (b Batch) Events() []Event { return b.events }
+
+// Revision returns the store's revision after the batch.
+func (b Batch) Revision() int64 { return b.revision }
+
+// Txn is a transaction: if every compared key has its revision, all writes
+// take effect at once, and else none.
+type Txn struct {
+	compares []compare
+	writes   []write
+}
+
+type compare struct {
+	key      string
+	revision int64
+}
+
+type write struct {
+	key     string
+	value   []byte
+	lease   int64
+	deleted bool
+}
+
+// Compare demands that the key was last changed at the revision; 0 demands
+// that it does not exist.
+func (t *Txn) Compare(key string, revision int64) {
+	t.compares = append(t.compares, compare{key: key, revision: revision})
+}
+
+// Put writes a value.
+func (t *Txn) Put(key string, value []byte) {
+	t.writes = append(t.writes, write{key: key, value: value})
+}
+
+// PutLeased writes a value that goes when the lease lapses.
+func (t *Txn) PutLeased(key string, value []byte, lease int64) {
+	t.writes = append(t.writes, write{key: key, value: value, lease: lease})
+}
+
+// Delete removes a key.
+func (t *Txn) Delete(key string) {
+	t.writes = append(t.writes, write{key: key, deleted: true})
+}
+
+// Committed is the answer to a transaction.
+type Committed struct {
+	succeeded bool
+	revision  int64
+}
+
+// Succeeded tells whether the writes took effect.
+func (c Committed) Succeeded() bool { return c.succeeded }
+
+// Revision returns the store's revision after the transaction.
+func (c Committed) Revision() int64 { return c.revision }
+
+// StatusError reports an answer of the store that is not a success. The
+// operation has not taken effect if the status is below 500.
+type StatusError struct {
+	operation string
+	status    int
+	message   string
+}
+
+// Status returns the HTTP status.
+func (e *StatusError) Status() int { return e.status }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("store: %s: status %d: %s", e.operation, e.status, e.message)
+}
+
+// CompactedError reports that a watch asked for revisions that the store no
+// longer keeps. The keys have to be read again.
+type CompactedError struct{ revision int64 }
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("store: history is compacted up to revision %d", e.revision)
+}
+
+var errUnknownStore = errors.New("store: unknown kind of store")
+
+// Range reads all keys with the prefix, in one read.
+func Range(ctx context.Context, s Store, prefix string) (Page, error) {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.rangePrefix(ctx, prefix)
+	case *Memory:
+		return s.Range(prefix), nil
+	}
+	return Page{}, errUnknownStore
+}
+
+// Commit runs a transaction. An error does not say whether it took effect,
+// unless it is a *StatusError below 500.
+func Commit(ctx context.Context, s Store, t Txn) (Committed, error) {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.commit(ctx, t)
+	case *Memory:
+		return s.Commit(t), nil
+	}
+	return Committed{}, errUnknownStore
+}
+
+// Watch calls receive with each batch of changes from the revision on, until
+// the context ends or the watch breaks. The error is a *CompactedError if the
+// keys have to be read again.
+func Watch(ctx context.Context, s Store, prefix string, from int64, receive func(Batch)) error {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.watch(ctx, prefix, from, receive)
+	case *Memory:
+		return s.Watch(ctx, prefix, from, receive)
+	}
+	return errUnknownStore
+}
+
+// Grant starts a lease and returns its ID.
+func Grant(ctx context.Context, s Store, ttl time.Duration) (int64, error) {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.grant(ctx, ttl)
+	case *Memory:
+		return s.Grant(ttl, 0), nil
+	}
+	return 0, errUnknownStore
+}
+
+// KeepAlive renews a lease. It returns false if the lease has lapsed.
+func KeepAlive(ctx context.Context, s Store, lease int64) (bool, error) {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.keepAlive(ctx, lease)
+	case *Memory:
+		return s.KeepAlive(lease) > 0, nil
+	}
+	return false, errUnknownStore
+}
+
+// Revoke ends a lease and removes its keys.
+func Revoke(ctx context.Context, s Store, lease int64) error {
+	switch s := s.(type) {
+	case *Gateway:
+		return s.revoke(ctx, lease)
+	case *Memory:
+		s.Revoke(lease)
+		return nil
+	}
+	return errUnknownStore
+}
