--- a/emulator/register.go
+++ b/emulator/register.go
@@ -54,15 +54,16 @@
 	if err != nil {
 		return err
 	}
-	return control(ctx, http.MethodPut, base+"/list", data)
+	return Control(ctx, http.MethodPut, base+"/list", data)
 }
 
 // Unregister takes a worker off the list of a stand-in platform.
 func Unregister(ctx context.Context, base string, worker registrar.WorkerID) error {
-	return control(ctx, http.MethodDelete, base+"/list/workers/"+url.PathEscape(string(worker)), nil)
+	return Control(ctx, http.MethodDelete, base+"/list/workers/"+url.PathEscape(string(worker)), nil)
 }
 
-func control(ctx context.Context, method, target string, body []byte) error {
+// Control sends a command to a control URL of a stand-in.
+func Control(ctx context.Context, method, target string, body []byte) error {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "stand-in platform")
