Add the demo, the load tool and bench overhead

Cause: a newcomer had nothing to run, and nothing was measured. Ruled out: the runtime's timers for arrival times (they round to a millisecond); a service time in the overhead experiment for the same reason. Change: demo (one process, both users' examples), loader (open loop, latency from the intended start), bench overhead (direct, bare relay, instance, in turns; medians over rounds of what a path adds).

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -84,7 +84,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput(err) })
-	root.AddCommand(newServe(), newConfig(), newStatus(), newExplain(), newEmulate(), newVersion())
+	root.AddCommand(newDemo(), newServe(), newConfig(), newStatus(), newExplain(), newEmulate(), newBench(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/demonstrator/demonstrator.go
@@ -0,0 +1,214 @@
+// Package demonstrator runs the whole system in one process, with stand-ins of
+// the platform and the workers, for a newcomer to look at.
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"burdocklane/applier"
+	"burdocklane/assembler"
+	"burdocklane/descriptor"
+	"burdocklane/emulator"
+	exampler "burdocklane/examples"
+	"burdocklane/parser"
+	"burdocklane/registrar"
+	"burdocklane/supervisor"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	workersPerService = 2
+	slotsPerWorker    = 4
+	instanceCount     = 2
+	headerTimeout     = 10 * time.Second
+	drainWorkers      = 5 * time.Second
+	readyTimeout      = 10 * time.Second
+)
+
+// Demonstrator is the running system.
+type Demonstrator struct {
+	output    io.Writer
+	log       *os.File
+	dir       string
+	place     registrar.Place
+	platform  *emulator.Platform
+	server    *http.Server
+	base      string
+	workers   []*emulator.Worker
+	instances []*supervisor.Supervisor
+	done      sync.WaitGroup
+}
+
+// New starts the system. Its table goes to the output, its log to a file.
+func New(ctx context.Context, output io.Writer) (*Demonstrator, error) {
+	d := &Demonstrator{output: output, place: registrar.NewPlace("local", "local-a"), platform: emulator.NewPlatform()}
+	if err := d.start(ctx); err != nil {
+		d.Close() //nolint:errcheck // The first error tells more.
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demonstrator) start(ctx context.Context) error {
+	var err error
+	if d.dir, err = os.MkdirTemp("", "burdocklane-demo-"); err != nil {
+		return errors.Wrap(err, "make a directory")
+	}
+	if d.log, err = os.Create(filepath.Join(d.dir, "instances.log")); err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	deployment, err := deployBoth()
+	if err != nil {
+		return err
+	}
+	if err := d.startWorkers(deployment); err != nil {
+		return err
+	}
+	if err := d.apply(ctx, deployment); err != nil {
+		return err
+	}
+	for n := range instanceCount {
+		if err := d.startInstance(n + 1); err != nil {
+			return err
+		}
+	}
+	return d.awaitReady(ctx)
+}
+
+// deployBoth puts the services of both users' examples into one deployment.
+func deployBoth() (descriptor.Deployment, error) {
+	var services []descriptor.Service
+	var measuring descriptor.Measuring
+	for _, data := range [][]byte{exampler.Authority(), exampler.Association()} {
+		d, err := parser.Deployment("example", data)
+		if err != nil {
+			return d, err
+		}
+		services = append(services, d.Services()...)
+		measuring = d.Measuring()
+	}
+	return descriptor.NewDeployment("demo", measuring, services), nil
+}
+
+func (d *Demonstrator) startPlatform() error {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	d.base = "http://" + socket.Addr().String()
+	d.server = &http.Server{Handler: d.platform.Handler(), ReadHeaderTimeout: headerTimeout}
+	d.done.Go(func() { d.server.Serve(socket) }) //nolint:errcheck // Always ErrServerClosed.
+	return nil
+}
+
+// startWorkers starts the workers; the first of each service has a noisy
+// neighbour.
+func (d *Demonstrator) startWorkers(deployment descriptor.Deployment) error {
+	for _, service := range deployment.Services() {
+		for n := range workersPerService {
+			options := []emulator.BehaviourOption{emulator.WithService(8*time.Millisecond, 0.5)}
+			if n == 0 {
+				options = append(options, emulator.WithNoise(4, 0.15, 50*time.Millisecond))
+			}
+			id := registrar.WorkerID(fmt.Sprintf("%s-%d", service.Name(), n+1))
+			member := registrar.NewWorker(id, service.Name(), "127.0.0.1:0", d.place, slotsPerWorker, false)
+			worker, err := emulator.NewWorker(member, 0, emulator.WithBehaviour(emulator.NewBehaviour(options...)))
+			if err != nil {
+				return err
+			}
+			d.workers = append(d.workers, worker)
+			d.platform.SetWorker(worker.Member())
+		}
+	}
+	return nil
+}
+
+func (d *Demonstrator) apply(ctx context.Context, deployment descriptor.Deployment) error {
+	a := applier.New(d.platform.Store(), assembler.NewKeys("/burdocklane/"), applier.WithAuthor("demo"))
+	result, err := a.Apply(ctx, deployment)
+	if err != nil {
+		return err
+	}
+	if _, ok := result.(applier.Accepted); !ok {
+		return errors.New("the example was not accepted")
+	}
+	return nil
+}
+
+func (d *Demonstrator) startInstance(n int) error {
+	id := fmt.Sprintf("demo-%d", n)
+	data := fmt.Sprintf(`{
+		"instance": %q, "region": %q, "availability-zone": %q,
+		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+		"platform": {"store": %q, "list": %q}
+	}`, id, d.place.Region(), d.place.Zone(), d.base, d.base+"/list")
+	settings, err := parser.ParseSettings(id, []byte(data))
+	if err != nil {
+		return err
+	}
+	instance, err := supervisor.New(settings, supervisor.WithOutput(d.log))
+	if err != nil {
+		return err
+	}
+	d.instances = append(d.instances, instance)
+	d.platform.SetInstance(registrar.NewInstance(registrar.InstanceID(id), instance.Peers(), instance.Admin(), d.place, false))
+	return nil
+}
+
+// awaitReady waits until each instance has the configuration in force and has
+// seen all workers.
+func (d *Demonstrator) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, instance := range d.instances {
+		for {
+			changed := instance.Publisher().Changed()
+			current := instance.Publisher().Current()
+			if current.Ready() && len(current.List().Workers()) == len(d.workers) {
+				break
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return errors.New("the instances did not get ready")
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends all that was started, the instances first and gracefully.
+func (d *Demonstrator) Close() error {
+	var failed error
+	for _, instance := range d.instances {
+		if err := instance.Close(); err != nil {
+			failed = err
+		}
+	}
+	for _, worker := range d.workers {
+		if err := worker.Close(drainWorkers); err != nil {
+			failed = err
+		}
+	}
+	if d.server != nil {
+		d.server.Close()
+	}
+	d.done.Wait()
+	if d.log != nil {
+		d.log.Close()
+	}
+	os.RemoveAll(d.dir)
+	return failed
+}
--- a/emulator/behaviour.go
+++ b/emulator/behaviour.go
@@ -72,6 +72,9 @@
 
 // serviceTime draws a log-normal time whose mean is b.mean.
 func (b Behaviour) serviceTime(slow bool, age time.Duration) time.Duration {
+	if b.mean <= 0 {
+		return 0
+	}
 	mu := math.Log(float64(b.mean)) - b.sigma*b.sigma/2
 	d := math.Exp(mu + b.sigma*rand.NormFloat64())
 	if slow {
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -219,11 +219,7 @@
 	w.mutex.Lock()
 	slow := w.noise.slow.Load()
 	w.mutex.Unlock()
-	timer := time.NewTimer(b.serviceTime(slow, time.Since(w.started)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
+	if !work(r.Context(), b.serviceTime(slow, time.Since(w.started))) {
 		panic(http.ErrAbortHandler)
 	}
 	if rand.Float64() < b.cutShare {
@@ -233,6 +229,21 @@
 	w.answer(rw, r, sum.Sum32())
 }
 
+// work takes the time, and returns false if the call is cancelled meanwhile.
+func work(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, sum uint32) {
 	size, err := strconv.Atoi(r.URL.Query().Get("bytes"))
 	if err != nil || size < 0 || size > mostAnswer {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,9 +25,21 @@
 	dir      string
 	env      []string
 	platform string
+	started  *processes
+}
+
+// processes is what has been started, shared by the copies of a launcher.
+type processes struct {
+	mutex sync.Mutex
+	list  []*Process
+}
 
-	mutex     sync.Mutex
-	processes []*Process
+// WithProcessors returns a launcher whose processes run on at most so many
+// processors at once. They end with the first launcher's.
+func (l *Launcher) WithProcessors(count int) *Launcher {
+	limited := *l
+	limited.env = append(slices.Clone(l.env), "GOMAXPROCS="+strconv.Itoa(count))
+	return &limited
 }
 
 // Option sets one property of a Launcher.
@@ -38,7 +51,7 @@
 // New returns a Launcher of the binary that writes settings and logs to the
 // directory.
 func New(binary, dir string, opts ...Option) *Launcher {
-	l := &Launcher{binary: binary, dir: dir}
+	l := &Launcher{binary: binary, dir: dir, started: &processes{}}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -47,9 +60,9 @@
 
 // Close kills the processes that still run.
 func (l *Launcher) Close() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, p := range l.processes {
+	l.started.mutex.Lock()
+	defer l.started.mutex.Unlock()
+	for _, p := range l.started.list {
 		p.Thaw()
 		p.Kill()
 	}
@@ -68,9 +81,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.processes = append(l.processes, p)
+	l.started.mutex.Lock()
+	defer l.started.mutex.Unlock()
+	l.started.list = append(l.started.list, p)
 	return p, nil
 }
 
@@ -292,3 +305,22 @@
 	defer response.Body.Close()
 	return emulator.ReadJournal(response.Body)
 }
+
+// Relay is a running bare relay.
+type Relay struct {
+	*Process
+	address string
+}
+
+// Address returns the host:port that the relay listens on.
+func (r *Relay) Address() string { return r.address }
+
+// StartRelay starts the bench's bare relay to host:port.
+func (l *Launcher) StartRelay(to string) (*Relay, error) {
+	p, err := l.Start("relay", "bench", "relay", "--to", to)
+	if err != nil {
+		return nil, err
+	}
+	address, err := p.firstWord()
+	return &Relay{Process: p, address: address}, err
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -275,3 +275,6 @@
 func (s *Supervisor) Cut() {
 	s.log.Error().Int64("calls-cut", s.dispatcher.InFlight()).Msg("told to stop at once")
 }
+
+// Peers returns the address of the peers' port.
+func (s *Supervisor) Peers() string { return s.exchanger.Address() }
