--- a/bencher/setup.go
+++ b/bencher/setup.go
@@ -7,6 +7,7 @@
 
 	"burdocklane/applier"
 	"burdocklane/assembler"
+	"burdocklane/descriptor"
 	"burdocklane/parser"
 	"burdocklane/storer"
 
@@ -28,6 +29,11 @@
 	if err != nil {
 		return err
 	}
+	return applyDeployment(ctx, platform, deployment)
+}
+
+// applyDeployment puts a configuration into the store of a stand-in.
+func applyDeployment(ctx context.Context, platform string, deployment descriptor.Deployment) error {
 	store := storer.NewGateway(platform)
 	defer store.Close()
 	result, err := applier.New(store, assembler.NewKeys(keyPrefix), applier.WithAuthor("bench")).Apply(ctx, deployment)
--- a/commander/bench.go
+++ b/commander/bench.go
@@ -7,6 +7,7 @@
 
 	"burdocklane/bencher"
 	"burdocklane/launcher"
+	"burdocklane/parser"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -14,7 +15,7 @@
 
 func newBench() *cobra.Command {
 	return group("bench", "Measure the product with processes on this machine",
-		newBenchOverhead(), newBenchRelay())
+		newBenchOverhead(), newBenchRouting(), newBenchRelay())
 }
 
 // newLauncher starts processes of this program in a directory of their own. It
@@ -63,6 +64,46 @@
 	return cmd
 }
 
+func newBenchRouting() *cobra.Command {
+	var user, report string
+	var policies, scenarios []string
+	var rounds int
+	var window time.Duration
+	var factor float64
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "routing",
+		Short: "Compare the routing policies while the workers' load shifts",
+		Long: `Starts the workers of a user's largest service and, for each policy, fifteen
+instances, with the delays between zones and regions. In each scenario the
+policies take turns. Prints a JSON line for each policy on standard output and
+a table on standard error. Times are stretched by --scale, so that the machine
+carries the sizes, and scaled back in the results.`,
+		Args: exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, done, err := newLauncher()
+			if err != nil {
+				return err
+			}
+			defer done()
+			return bencher.NewRouting(l, user, seed, cmd.OutOrStdout(), cmd.ErrOrStderr(),
+				bencher.WithPolicies(policies...), bencher.WithScenarios(scenarios...),
+				bencher.WithRounds(rounds), bencher.WithWindow(window),
+				bencher.WithScale(factor), bencher.WithReport(report)).Run(cmd.Context())
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&user, "users", "authority", "whose sizes: authority or association")
+	flags.StringSliceVar(&policies, "policy", parser.Policies(), "policies to compare")
+	flags.StringSliceVar(&scenarios, "scenario", nil, "scenarios to run; all if not given")
+	flags.IntVar(&rounds, "rounds", 2, "turns of each policy in each scenario")
+	flags.DurationVar(&window, "window", 5*time.Second, "length of a turn")
+	flags.Float64Var(&factor, "scale", 4, "factor by which all times are stretched")
+	flags.Uint64Var(&seed, "seed", 1, "seed of the arrival times")
+	flags.StringVar(&report, "report", "", "file to write a report page to")
+	return cmd
+}
+
 func newBenchRelay() *cobra.Command {
 	var address, to string
 	cmd := &cobra.Command{
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -139,7 +139,7 @@
 	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc("/emulate/journal", w.serveJournal).Methods(http.MethodGet)
 	router.HandleFunc("/emulate/behaviour", w.serveBehaviour).Methods(http.MethodPut)
-	router.HandleFunc("/emulate/load", w.serveLoad).Methods(http.MethodGet)
+	router.HandleFunc("/load", w.serveLoad).Methods(http.MethodGet)
 	router.PathPrefix("/").HandlerFunc(w.serveCall)
 	return router
 }
@@ -181,8 +181,9 @@
 		http.Error(rw, "shed: not run", http.StatusServiceUnavailable)
 		return
 	}
-	defer func() { <-w.slots }()
-	w.run(rw, r, b)
+	sum := w.run(r, b)
+	w.delays.wait(r) // The way back takes time, but no slot.
+	w.answer(rw, r, sum)
 }
 
 // enter waits for a slot. It returns false if the call is shed or cancelled.
@@ -205,9 +206,14 @@
 	return true
 }
 
-func (w *Worker) run(rw http.ResponseWriter, r *http.Request, b Behaviour) {
+// run does the call's work in the slot that it holds, gives the slot back, and
+// returns the checksum of the request's body.
+func (w *Worker) run(r *http.Request, b Behaviour) uint32 {
 	w.running.Add(1)
-	defer w.running.Add(-1)
+	defer func() {
+		w.running.Add(-1)
+		<-w.slots
+	}()
 	w.journal.add(Entry{
 		id: r.Header.Get(headerRequestID), method: r.Method, path: r.URL.Path,
 		key: r.Header.Get(headerKey), worker: string(w.member.ID()), at: time.Now(),
@@ -225,8 +231,7 @@
 	if rand.Float64() < b.cutShare {
 		panic(http.ErrAbortHandler)
 	}
-	w.delays.wait(r)
-	w.answer(rw, r, sum.Sum32())
+	return sum.Sum32()
 }
 
 // work takes the time, and returns false if the call is cancelled meanwhile.
--- a/inspector/client.go
+++ b/inspector/client.go
@@ -74,3 +74,32 @@
 	}
 	return descriptor.Revision(status.Configuration.Revision), nil
 }
+
+// Effort is what an instance has spent beside the calls themselves.
+type Effort struct {
+	measured int64
+	retries  int64
+}
+
+// MeasuredBytes returns the bytes sent and received for measuring.
+func (e Effort) MeasuredBytes() int64 { return e.measured }
+
+// Retries returns the retries and hedged requests of all services.
+func (e Effort) Retries() int64 { return e.retries }
+
+// FetchEffort reads what an instance has spent since its start.
+func FetchEffort(ctx context.Context, address string) (Effort, error) {
+	data, err := Fetch(ctx, address, "/status")
+	if err != nil {
+		return Effort{}, err
+	}
+	var status statusMessage
+	if err := json.Unmarshal(data, &status); err != nil {
+		return Effort{}, errors.Wrap(err, "admin port")
+	}
+	effort := Effort{measured: status.Measuring.Bytes}
+	for _, s := range status.Services {
+		effort.retries += s.Retries
+	}
+	return effort, nil
+}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -49,7 +49,8 @@
 	mutex sync.Mutex // Guards queue, and is never held across a call.
 	queue *queue
 
-	wants chan Want
+	wants  chan Want
+	probes chan<- *Pool
 }
 
 // Option sets one property of a Pool.
@@ -69,6 +70,10 @@
 // which a peer's idle slot would help. Nothing is sent while it is full.
 func WithWants(wants chan Want) Option { return func(p *Pool) { p.wants = wants } }
 
+// WithProbes sets the channel on which a pool with the policy
+// picker.ProbePool asks for probes. Nothing is sent while it is full.
+func WithProbes(probes chan<- *Pool) Option { return func(p *Pool) { p.probes = probes } }
+
 // runtimeSource draws from the runtime's per-thread generator.
 type runtimeSource struct{}
 
@@ -154,6 +159,7 @@
 // Acquire grants a slot, at once or when one comes free, or refuses.
 func (p *Pool) Acquire(ctx context.Context, ask Ask) Admission {
 	since := time.Now()
+	p.askForProbes()
 	var seen Seen
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		worker, decision := p.try(&ask, &seen)
@@ -168,6 +174,16 @@
 	return p.wait(ctx, ask, since, seen)
 }
 
+func (p *Pool) askForProbes() {
+	if _, ok := p.policy.(picker.ProbePool); !ok || p.probes == nil {
+		return
+	}
+	select {
+	case p.probes <- p:
+	default:
+	}
+}
+
 // try picks a worker and takes a slot there. A Send decision comes with the
 // worker, whose slot is then held.
 func (p *Pool) try(ask *Ask, seen *Seen) (*tracker.Worker, picker.Decision) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -112,7 +112,7 @@
 }
 
 func fire(ctx context.Context, client *http.Client, target string, shot Shot, id string, started time.Time, intended time.Duration) Outcome {
-	o := Outcome{id: id, shot: shot, start: intended}
+	o := Outcome{id: id, shot: shot, start: intended, entry: target}
 	o.kind, o.err = send(ctx, client, target, shot, id, &o)
 	o.latency = time.Since(started) - intended
 	return o
--- a/loader/outcome.go
+++ b/loader/outcome.go
@@ -27,6 +27,7 @@
 	latency time.Duration
 	start   time.Duration
 	worker  string
+	entry   string
 	status  int
 	err     error
 }
@@ -49,6 +50,9 @@
 // Worker returns the worker that answered, or "".
 func (o Outcome) Worker() string { return o.worker }
 
+// Entry returns the host:port that the call was sent to.
+func (o Outcome) Entry() string { return o.entry }
+
 // Status returns the HTTP status, or 0.
 func (o Outcome) Status() int { return o.status }
 
@@ -115,6 +119,9 @@
 // Rate returns the good answers a second.
 func (s *Summary) Rate() float64 { return float64(s.kinds[Good]) / s.elapsed.Seconds() }
 
+// Elapsed returns the length of the load.
+func (s *Summary) Elapsed() time.Duration { return s.elapsed }
+
 // Workers returns the calls that each worker answered.
 func (s *Summary) Workers() map[string]int64 { return s.workers }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -22,6 +22,7 @@
 	"burdocklane/lister"
 	"burdocklane/parser"
 	"burdocklane/picker"
+	"burdocklane/prober"
 	"burdocklane/publisher"
 	"burdocklane/recorder"
 	"burdocklane/registrar"
@@ -37,6 +38,9 @@
 // leaving, so that the platform's balancer can turn away from it.
 const drainNotice = 500 * time.Millisecond
 
+// probesBuffer is how many calls can ask for probes at once.
+const probesBuffer = 256
+
 // Supervisor is a running instance.
 type Supervisor struct {
 	settings   parser.Settings
@@ -53,6 +57,7 @@
 	lister     *lister.Lister
 	account    *budgeter.Account
 	lender     *lender.Lender
+	prober     *prober.Prober
 	exchanger  *exchanger.Exchanger
 	measured   atomic.Int64 // Bytes on the connections for measuring.
 	inspector  *inspector.Inspector
@@ -120,13 +125,16 @@
 	s.asserter = asserter.New(s.log, assertions...)
 	s.recorder = recorder.New(s.log)
 	wants := lender.NewWants()
+	probes := make(chan *limiter.Pool, probesBuffer)
 	s.account = budgeter.New(0)
 	s.publisher = publisher.New(s.self(),
 		publisher.WithObserver(func(d descriptor.Deployment) { s.account.SetRate(d.Measuring().BytesPerSecond()) }),
 		publisher.WithPoolOptions(
 			limiter.WithPolicy(policyOf(s.settings.Policy())),
 			limiter.WithQueueLimit(limits.Queue()),
-			limiter.WithWants(wants)))
+			limiter.WithWants(wants),
+			limiter.WithProbes(probes)))
+	s.prober = prober.New(probes, s.account, s.settings.Listen().Source(), &s.measured)
 	s.lender = lender.New(s.self(), wants, s.publisher, s.account)
 	s.sender = sender.New(
 		sender.WithConnectTimeout(limits.ConnectTimeout()),
@@ -222,6 +230,7 @@
 		s.lister.Close()
 	}
 	s.lender.Close()
+	s.prober.Close()
 	if s.exchanger != nil {
 		s.exchanger.Close()
 	}
