Let calls overflow their instance's slots after half a mean service time

Change: after half a mean service time a waiting call goes beyond the own slots to the worker that is expected to answer first: in the region up to twice its share plus one, in another region one a worker and at most 10% of the calls. Hedged requests may do so too. Latency means are kept by distance.

--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -45,6 +45,8 @@
 		return "retry"
 	case granted.Borrowed():
 		return "borrowed-slot"
+	case granted.Overflowed():
+		return "overflow"
 	case granted.Waited() > 0:
 		return "waited-for-slot"
 	}
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -76,6 +76,8 @@
 	loan   *Loan
 	waited time.Duration
 	seen   Seen
+	// overflow marks a slot beyond the instance's own.
+	overflow bool
 }
 
 // Refused says why no slot was granted.
@@ -97,6 +99,9 @@
 // Borrowed tells whether a peer lent the slot.
 func (g Granted) Borrowed() bool { return g.loan != nil }
 
+// Overflowed tells whether the slot is beyond the instance's own.
+func (g Granted) Overflowed() bool { return g.overflow }
+
 // Seen returns what the decision was made from.
 func (g Granted) Seen() Seen { return g.seen }
 
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/budgeter"
 	"burdocklane/descriptor"
 	"burdocklane/picker"
 	"burdocklane/registrar"
@@ -22,6 +23,16 @@
 	acquireRaces = 8
 	// ejectedMost is the share of workers that may rest at once, as 1/n.
 	ejectedMost = 2
+	// distances is the number of values of registrar.Place.Distance.
+	distances = 3
+	// spillFactor times the mean latency is how long a call waits for a slot of
+	// the instance's own before it overflows.
+	spillFactor = 0.5
+	// farShare is the share of calls that may overflow into another region.
+	farShare = 0.1
+	// farPrior is added to the mean latency of workers in other places, as long
+	// as no call has been sent there.
+	farPrior = 20 * time.Millisecond
 	// overloadFactor times the target is the longest wait worth queueing for.
 	overloadFactor = 4
 )
@@ -44,6 +55,8 @@
 	roster  atomic.Pointer[roster]
 	turn    atomic.Uint64
 	mean    atomic.Int64
+	near    [distances]atomic.Int64 // Mean latency by distance.
+	far     *budgeter.Share
 	waiting atomic.Int32
 
 	mutex sync.Mutex // Guards queue, and is never held across a call.
@@ -90,6 +103,7 @@
 		started:    time.Now(),
 		rng:        rand.New(runtimeSource{}),
 		queue:      newQueue(),
+		far:        budgeter.NewShare(farShare),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -160,9 +174,10 @@
 func (p *Pool) Acquire(ctx context.Context, ask Ask) Admission {
 	since := time.Now()
 	p.askForProbes()
+	p.far.Deposit()
 	var seen Seen
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
-		worker, decision := p.try(&ask, &seen)
+		worker, decision := p.try(p.policy, &ask, &seen)
 		switch decision.(type) {
 		case picker.Send:
 			return Granted{pool: p, worker: worker, seen: seen}
@@ -186,9 +201,8 @@
 
 // try picks a worker and takes a slot there. A Send decision comes with the
 // worker, whose slot is then held.
-func (p *Pool) try(ask *Ask, seen *Seen) (*tracker.Worker, picker.Decision) {
+func (p *Pool) try(policy picker.Policy, ask *Ask, seen *Seen) (*tracker.Worker, picker.Decision) {
 	var buffer [stackCandidates]picker.Candidate
-	policy := p.policy
 	if _, ok := policy.(picker.RoundRobin); ok {
 		policy = picker.NewRoundRobin(p.turn.Add(1))
 	}
@@ -202,7 +216,7 @@
 			return nil, decision
 		}
 		worker := workers[send.Index()]
-		if !picker.Bounded(policy) {
+		if !picker.Bounded(policy) { // Overflow is bounded by what the picker saw.
 			worker.Acquire(now)
 			return worker, decision
 		}
@@ -216,11 +230,14 @@
 // weigh appends a candidate for each worker. When more than the allowed share
 // of workers is ejected, they are all used again.
 func (p *Pool) weigh(candidates []picker.Candidate, workers []*tracker.Worker, ask *Ask, now time.Duration, seen *Seen) []picker.Candidate {
-	mean := p.mean.Load()
+	var means [distances]int64
+	for d := range means {
+		means[d] = p.meanAt(d)
+	}
 	*seen = Seen{total: int32(len(workers)), queued: p.waiting.Load()}
 	ejected := 0
 	for _, w := range workers {
-		c := w.Candidate(mean, now, ask.avoids(w.ID()))
+		c := w.Candidate(means[w.Distance()], now, ask.avoids(w.ID()))
 		candidates = append(candidates, c)
 		seen.count(c)
 		if c.State() == picker.Ejected {
@@ -254,18 +271,86 @@
 	}
 	p.dispatch()
 	p.want(w)
-	timer := time.NewTimer(time.Until(ask.deadline))
-	defer timer.Stop()
+	patience := time.NewTimer(p.patience(ask))
+	defer patience.Stop()
 	select {
 	case granted := <-w.ready:
 		return p.granted(granted, since, seen)
 	case <-ctx.Done():
 		return p.leave(w, ReasonCancelled, since, seen)
-	case <-timer.C:
+	case <-patience.C:
+	}
+	if granted, ok := p.overflow(w); ok {
+		return p.granted(granted, since, seen)
+	}
+	patience.Reset(time.Until(ask.deadline))
+	select {
+	case granted := <-w.ready:
+		return p.granted(granted, since, seen)
+	case <-ctx.Done():
+		return p.leave(w, ReasonCancelled, since, seen)
+	case <-patience.C:
 		return p.leave(w, ReasonDeadline, since, seen)
 	}
 }
 
+// patience is how long a call waits for a slot of the instance's own.
+func (p *Pool) patience(ask Ask) time.Duration {
+	left := time.Until(ask.deadline)
+	if ask.lending {
+		return left
+	}
+	return min(time.Duration(spillFactor*float64(p.mean.Load())), left)
+}
+
+// overflow sends a waiting call beyond the instance's own slots.
+func (p *Pool) overflow(w *waiter) (Granted, bool) {
+	if w.ask.lending {
+		return Granted{}, false
+	}
+	worker, ok := p.takeOverflow(&w.ask)
+	if !ok {
+		return Granted{}, false
+	}
+	p.mutex.Lock()
+	removed := p.queue.remove(w)
+	p.mutex.Unlock()
+	if !removed { // A slot came at the same moment.
+		worker.Release(p.Now())
+		return <-w.ready, true
+	}
+	p.waiting.Add(-1)
+	return Granted{pool: p, worker: worker, overflow: true}, true
+}
+
+// takeOverflow picks a worker of the region, or of another one while few calls
+// have gone there.
+func (p *Pool) takeOverflow(ask *Ask) (*tracker.Worker, bool) {
+	var seen Seen
+	worker, decision := p.try(picker.NewOverflow(false), ask, &seen)
+	if _, ok := decision.(picker.Send); ok {
+		return worker, true
+	}
+	if !p.far.Withdraw() {
+		return nil, false
+	}
+	worker, decision = p.try(picker.NewOverflow(true), ask, &seen)
+	_, ok := decision.(picker.Send)
+	return worker, ok
+}
+
+// meanAt returns the mean latency of workers at a distance, in nanoseconds.
+func (p *Pool) meanAt(distance int) int64 {
+	if mean := p.near[distance].Load(); mean > 0 {
+		return mean
+	}
+	mean := p.mean.Load()
+	if mean > 0 && distance > 0 {
+		mean += int64(distance) * int64(farPrior) / 2
+	}
+	return mean
+}
+
 func (p *Pool) granted(g Granted, since time.Time, seen Seen) Granted {
 	g.waited, g.seen = time.Since(since), seen
 	return g
@@ -323,7 +408,7 @@
 		if head == nil {
 			return
 		}
-		worker, decision := p.try(&head.ask, &seen)
+		worker, decision := p.try(p.policy, &head.ask, &seen)
 		if _, ok := decision.(picker.Send); !ok {
 			return
 		}
@@ -347,15 +432,21 @@
 	p.dispatch()
 }
 
-// Observe adds a good answer's latency to the service's moving average.
-func (p *Pool) Observe(latency time.Duration) {
+// observe adds a good answer's latency to the moving averages of the service
+// and of the worker's distance.
+func (p *Pool) observe(latency time.Duration, distance int) {
+	average(&p.mean, latency)
+	average(&p.near[distance], latency)
+}
+
+func average(mean *atomic.Int64, latency time.Duration) {
 	const weight = 0.05
-	old := p.mean.Load()
+	old := mean.Load()
 	if old == 0 {
-		p.mean.CompareAndSwap(0, int64(latency))
+		mean.CompareAndSwap(0, int64(latency))
 		return
 	}
-	p.mean.CompareAndSwap(old, int64((1-weight)*float64(old)+weight*float64(latency)))
+	mean.CompareAndSwap(old, int64((1-weight)*float64(old)+weight*float64(latency)))
 }
 
 // Find returns the worker with the ID, or nil.
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -7,23 +7,22 @@
 	"burdocklane/tracker"
 )
 
-// TryAcquire takes a free slot at a worker that the ask does not avoid, or
-// returns false; it never waits.
+// TryAcquire takes a slot at a worker that the ask does not avoid, beyond the
+// instance's own slots if it must, or returns false; it never waits. It is for
+// hedged requests, which are refused while more calls wait than slots are held.
 func (p *Pool) TryAcquire(ask Ask) (Granted, bool) {
-	if p.waiting.Load() > 0 {
+	if int(p.waiting.Load()) > p.Slots() {
 		return Granted{}, false
 	}
 	var seen Seen
-	worker, decision := p.try(&ask, &seen)
-	if _, ok := decision.(picker.Send); !ok {
-		return Granted{}, false
-	}
-	granted := Granted{pool: p, worker: worker, seen: seen}
-	if ask.avoids(worker.ID()) {
-		granted.Release()
-		return Granted{}, false
+	worker, decision := p.try(p.policy, &ask, &seen)
+	if _, ok := decision.(picker.Send); ok && !ask.avoids(worker.ID()) {
+		return Granted{pool: p, worker: worker, seen: seen}, true
+	} else if ok {
+		worker.Release(p.Now())
 	}
-	return granted, true
+	worker, ok := p.takeOverflow(&ask)
+	return Granted{pool: p, worker: worker, overflow: true, seen: seen}, ok
 }
 
 // Answered notes an answer and its latency. An answer that is an error counts
@@ -34,7 +33,7 @@
 		return
 	}
 	g.worker.Succeeded(latency, p.Now())
-	p.Observe(latency)
+	p.observe(latency, g.worker.Distance())
 }
 
 // Failed notes that the worker failed a call.
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -3,7 +3,7 @@
 import "math/rand/v2"
 
 // Policy is a way to choose a worker: one of Random, RoundRobin,
-// LeastInFlight, TwoChoices, ProbePool or SharedSlots.
+// LeastInFlight, TwoChoices, ProbePool, SharedSlots or Overflow.
 type Policy interface{ policy() }
 
 // Random sends to any usable worker.
@@ -29,12 +29,21 @@
 // the call wait for one. Observed speed orders the free slots.
 type SharedSlots struct{}
 
+// Overflow sends beyond the instance's own slots, up to a bound, to the worker
+// that is expected to answer first. It serves calls that have waited too long
+// for a slot of their own, and hedged requests.
+type Overflow struct{ far bool }
+
+// NewOverflow returns the policy; far allows workers of other regions.
+func NewOverflow(far bool) Overflow { return Overflow{far: far} }
+
 func (Random) policy()        {}
 func (RoundRobin) policy()    {}
 func (LeastInFlight) policy() {}
 func (TwoChoices) policy()    {}
 func (ProbePool) policy()     {}
 func (SharedSlots) policy()   {}
+func (Overflow) policy()      {}
 
 // NewRoundRobin returns the policy at the given turn.
 func NewRoundRobin(turn uint64) RoundRobin { return RoundRobin{turn: turn} }
@@ -60,6 +69,8 @@
 		return pickLeast(candidates, rng, byProbe)
 	case SharedSlots:
 		return pickFree(candidates, rng)
+	case Overflow:
+		return pickOverflow(candidates, p.far, rng)
 	}
 	return Refuse{}
 }
@@ -197,4 +208,46 @@
 	return Refuse{}
 }
 
+// farDistance is the distance between regions, as registrar.Place counts it.
+const farDistance = 2
+
+// overflowLimit is how many calls an instance may have at a worker beyond its
+// own slots: the worker's queue absorbs them. Far workers take one.
+func (c *Candidate) overflowLimit() int32 {
+	if c.distance >= farDistance {
+		return max(c.limit, 1)
+	}
+	return 2*c.limit + 1
+}
+
+func pickOverflow(candidates []Candidate, far bool, rng *rand.Rand) Decision {
+	best, bestScore, ties := -1, int64(0), 0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!far && c.distance >= farDistance) {
+			continue
+		}
+		s := byQueue(c)
+		switch {
+		case best < 0 || s < bestScore:
+			best, bestScore, ties = i, s, 1
+		case s == bestScore:
+			ties++
+			if rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	if best < 0 {
+		return Wait{}
+	}
+	return Send{index: int32(best)}
+}
+
+// byQueue expects a call to wait for its turn when the slots are taken.
+func byQueue(c *Candidate) int64 {
+	excess := max(c.inFlight+1-max(c.limit, 1), 0)
+	return c.latency + c.latency*int64(excess)/int64(max(c.limit, 1))
+}
+
 func routable(s State) bool { return s == Usable || s == Suspect }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/budgeter"
 	"burdocklane/classifier"
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
@@ -114,7 +115,7 @@
 	for _, service := range d.Services() {
 		lane := old.lanes[service.Name()]
 		if lane == nil {
-			lane = &Lane{pool: limiter.New(service.Name(), p.self, p.options...), budget: retrier.NewBudget()}
+			lane = &Lane{pool: limiter.New(service.Name(), p.self, p.options...), budget: budgeter.NewShare(retrier.BudgetShare)}
 		}
 		lanes[service.Name()] = lane
 	}
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -6,24 +6,24 @@
 import (
 	"time"
 
+	"burdocklane/budgeter"
 	"burdocklane/classifier"
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/registrar"
-	"burdocklane/retrier"
 )
 
 // Lane is what the calls of one service share.
 type Lane struct {
 	pool   *limiter.Pool
-	budget *retrier.Budget
+	budget *budgeter.Share
 }
 
 // Pool returns the workers and the queue of the service.
 func (l *Lane) Pool() *limiter.Pool { return l.pool }
 
 // Budget returns the retry budget of the service.
-func (l *Lane) Budget() *retrier.Budget { return l.budget }
+func (l *Lane) Budget() *budgeter.Share { return l.budget }
 
 // Snapshot is what is in force at one moment. It never changes.
 type Snapshot struct {
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"burdocklane/budgeter"
 	"burdocklane/classifier"
 )
 
@@ -15,6 +16,9 @@
 	backoffBase = 2 * time.Millisecond
 	backoffMost = 250 * time.Millisecond
 
+	// BudgetShare is the share of calls that may be retried or hedged.
+	BudgetShare = 0.1
+
 	// hedgeFactor times the mean latency is when a second attempt starts.
 	hedgeFactor = 3
 )
@@ -109,7 +113,7 @@
 // Next decides what follows the latest result, which h includes. An
 // at-most-once call is tried again only if no attempt can have run. A retry is
 // taken from the budget.
-func Next(call *classifier.Call, h History, latest Result, budget *Budget, now time.Time) Step {
+func Next(call *classifier.Call, h History, latest Result, budget *budgeter.Share, now time.Time) Step {
 	if !wantsRetry(call, latest) || h.attempts >= MostAttempts || !h.replayable {
 		return settle(h, latest)
 	}
