Serve impatient calls in the queue's order and cap what a report may claim

Change: a call that runs out of patience stays in the queue, and the queue's head overflows first; the limit of a worker is at most 1.5 times the even part of the usual calls in flight.

--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,6 +20,11 @@
 	defaultQueueLimit = 1024
 	// stackCandidates workers are weighed without an allocation.
 	stackCandidates = 64
+	// headroom times the usual calls in flight is shared out evenly as the
+	// limit of each worker, in case its reported slots are too many.
+	headroom = 1.5
+	// usualWeight is the divisor of a new value in the usual calls in flight.
+	usualWeight = 32
 	// acquireRaces bounds how often a lost race for a slot is run again.
 	acquireRaces = 8
 	// ejectedMost is the share of workers that may rest at once, as 1/n.
@@ -41,6 +47,7 @@
 type roster struct {
 	workers []*tracker.Worker
 	slots   int
+	holding int // Workers of which the instance holds a slot.
 }
 
 // Pool admits calls to the workers of one service.
@@ -58,6 +65,8 @@
 	near    [distances]atomic.Int64 // Mean latency by distance.
 	far     *budgeter.Share
 	waiting atomic.Int32
+	usual   atomic.Int64 // Moving average of the calls in flight, in thousandths.
+	held    atomic.Int32 // Calls in flight.
 
 	mutex sync.Mutex // Guards queue, and is never held across a call.
 	queue *queue
@@ -149,6 +158,7 @@
 		w := p.keepOrAdd(known, member, len(old.workers) > 0)
 		w.SetShare(shares[i])
 		next.slots += shares[i]
+		next.holding += min(shares[i], 1)
 		next.workers = append(next.workers, w)
 	}
 	p.roster.Store(next)
@@ -218,9 +228,11 @@
 		worker := workers[send.Index()]
 		if !picker.Bounded(policy) { // Overflow is bounded by what the picker saw.
 			worker.Acquire(now)
+			p.noteHeld(1)
 			return worker, decision
 		}
-		if worker.TryAcquire(now) {
+		if worker.TryAcquire(now, candidates[send.Index()].Limit()) {
+			p.noteHeld(1)
 			return worker, decision
 		}
 	}
@@ -234,10 +246,11 @@
 	for d := range means {
 		means[d] = p.meanAt(d)
 	}
+	most := p.fairLimit(len(workers))
 	*seen = Seen{total: int32(len(workers)), queued: p.waiting.Load()}
 	ejected := 0
 	for _, w := range workers {
-		c := w.Candidate(means[w.Distance()], now, ask.avoids(w.ID()))
+		c := w.Candidate(means[w.Distance()], now, ask.avoids(w.ID())).Capped(most)
 		candidates = append(candidates, c)
 		seen.count(c)
 		if c.State() == picker.Ejected {
@@ -252,6 +265,23 @@
 	return candidates
 }
 
+// fairLimit bounds the calls at one worker by the even part of the usual load
+// and some headroom.
+func (p *Pool) fairLimit(workers int) int32 {
+	if workers == 0 {
+		return 0
+	}
+	holding := max(p.roster.Load().holding, 1)
+	return max(int32(math.Ceil(headroom*float64(p.usual.Load())/1000/float64(holding))), 1)
+}
+
+// noteHeld adds the calls in flight to their moving average.
+func (p *Pool) noteHeld(change int32) {
+	held := int64(p.held.Add(change)) * 1000
+	old := p.usual.Load()
+	p.usual.CompareAndSwap(old, old+(held-old)/usualWeight)
+}
+
 func (s *Seen) count(c picker.Candidate) {
 	s.inFlight += c.InFlight()
 	if c.State() != picker.Usable && c.State() != picker.Suspect {
@@ -279,9 +309,8 @@
 	case <-ctx.Done():
 		return p.leave(w, ReasonCancelled, since, seen)
 	case <-patience.C:
-	}
-	if granted, ok := p.overflow(w); ok {
-		return p.granted(granted, since, seen)
+		w.impatient.Store(true)
+		p.dispatch()
 	}
 	patience.Reset(time.Until(ask.deadline))
 	select {
@@ -303,26 +332,6 @@
 	return min(time.Duration(spillFactor*float64(p.mean.Load())), left)
 }
 
-// overflow sends a waiting call beyond the instance's own slots.
-func (p *Pool) overflow(w *waiter) (Granted, bool) {
-	if w.ask.lending {
-		return Granted{}, false
-	}
-	worker, ok := p.takeOverflow(&w.ask)
-	if !ok {
-		return Granted{}, false
-	}
-	p.mutex.Lock()
-	removed := p.queue.remove(w)
-	p.mutex.Unlock()
-	if !removed { // A slot came at the same moment.
-		worker.Release(p.Now())
-		return <-w.ready, true
-	}
-	p.waiting.Add(-1)
-	return Granted{pool: p, worker: worker, overflow: true}, true
-}
-
 // takeOverflow picks a worker of the region, or of another one while few calls
 // have gone there.
 func (p *Pool) takeOverflow(ask *Ask) (*tracker.Worker, bool) {
@@ -393,7 +402,8 @@
 	return Refused{reason: reason, waited: time.Since(since), seen: seen}
 }
 
-// dispatch hands free slots to the calls that wait, the most urgent first. The
+// dispatch hands free slots to the calls that wait, the most urgent first, and
+// slots beyond the instance's own to those that have run out of patience. The
 // slot of a release that sees no waiter, and the waiter that sees no slot,
 // cannot miss each other: each writes its own side before it reads the other's.
 func (p *Pool) dispatch() {
@@ -409,10 +419,18 @@
 			return
 		}
 		worker, decision := p.try(p.policy, &head.ask, &seen)
-		if _, ok := decision.(picker.Send); !ok {
+		if _, ok := decision.(picker.Send); ok {
+			p.hand(head, Granted{pool: p, worker: worker})
+			continue
+		}
+		if !head.impatient.Load() {
+			return
+		}
+		worker, ok := p.takeOverflow(&head.ask)
+		if !ok {
 			return
 		}
-		p.hand(head, Granted{pool: p, worker: worker})
+		p.hand(head, Granted{pool: p, worker: worker, overflow: true})
 	}
 }
 
@@ -429,6 +447,7 @@
 		return
 	}
 	worker.Release(p.Now())
+	p.noteHeld(-1)
 	p.dispatch()
 }
 
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -2,17 +2,20 @@
 
 import (
 	"container/heap"
+	"sync/atomic"
 	"time"
 )
 
 // waiter is a call that waits for a slot.
 type waiter struct {
-	ask    Ask
-	key    time.Time
-	since  time.Time
-	ready  chan Granted
-	index  int
-	number uint64
+	ask   Ask
+	key   time.Time
+	since time.Time
+	ready chan Granted
+	// impatient is set when the call has waited long enough to overflow.
+	impatient atomic.Bool
+	index     int
+	number    uint64
 }
 
 // queue orders waiters by virtual deadline: the class's target (earliest
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -20,6 +20,7 @@
 		return Granted{pool: p, worker: worker, seen: seen}, true
 	} else if ok {
 		worker.Release(p.Now())
+		p.noteHeld(-1)
 	}
 	worker, ok := p.takeOverflow(&ask)
 	return Granted{pool: p, worker: worker, overflow: true, seen: seen}, ok
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -107,3 +107,9 @@
 	}
 	return c
 }
+
+// Capped returns c with a limit of at most the given calls.
+func (c Candidate) Capped(most int32) Candidate {
+	c.limit = min(c.limit, most)
+	return c
+}
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -91,11 +91,11 @@
 // SetRemote stores the number of calls that a probe found at the worker.
 func (w *Worker) SetRemote(calls int) { w.remote.Store(int32(calls)) }
 
-// TryAcquire takes a slot if the worker is under its limit.
-func (w *Worker) TryAcquire(now time.Duration) bool {
+// TryAcquire takes a slot if fewer than the limit are taken.
+func (w *Worker) TryAcquire(now time.Duration, limit int32) bool {
 	for {
 		current := w.inFlight.Load()
-		if current >= w.Limit() {
+		if current >= limit {
 			return false
 		}
 		if w.inFlight.CompareAndSwap(current, current+1) {
