--- a/bencher/overhead.go
+++ b/bencher/overhead.go
@@ -41,14 +41,16 @@
 	rounds   int
 	span     time.Duration
 	seed     uint64
+	load     float64
 	output   io.Writer
 	progress io.Writer
 }
 
 // NewOverhead returns the experiment; each of the rounds sends load to each of
-// the paths in turn for the span.
-func NewOverhead(l *launcher.Launcher, example string, rounds int, span time.Duration, seed uint64, output, progress io.Writer) *Overhead {
-	return &Overhead{launcher: l, example: example, rounds: rounds, span: span, seed: seed, output: output, progress: progress}
+// the paths in turn for the span, at the given share of the instance's
+// saturation rate.
+func NewOverhead(l *launcher.Launcher, example string, rounds int, span time.Duration, load float64, seed uint64, output, progress io.Writer) *Overhead {
+	return &Overhead{launcher: l, example: example, rounds: rounds, span: span, load: load, seed: seed, output: output, progress: progress}
 }
 
 // path is one way to the worker.
@@ -96,7 +98,7 @@
 		}
 		fmt.Fprintf(o.progress, "%-12s saturates at %.0f calls/s\n", paths[i].name, paths[i].saturation)
 	}
-	rate := paths[len(paths)-1].saturation / 2
+	rate := paths[len(paths)-1].saturation * o.load
 	for round := range o.rounds {
 		for i := range paths {
 			if err := o.measure(ctx, client, &paths[i], rate, uint64(round)); err != nil {
--- a/commander/bench.go
+++ b/commander/bench.go
@@ -40,11 +40,12 @@
 	var example string
 	var rounds int
 	var span time.Duration
+	var load float64
 	var seed uint64
 	cmd := &cobra.Command{
 		Use:   "overhead",
 		Short: "Compare a call through an instance with one direct to the worker",
-		Long: `Sends open-loop load at half the instance's saturation rate direct to a worker,
+		Long: `Sends open-loop load at a share of the instance's saturation rate direct to a worker,
 through a bare relay, and through an instance, in turns. Prints a JSON line for
 each path on standard output and a table on standard error.`,
 		Args: exactly(),
@@ -54,12 +55,13 @@
 				return err
 			}
 			defer done()
-			return bencher.NewOverhead(l, example, rounds, span, seed, cmd.OutOrStdout(), cmd.ErrOrStderr()).Run(cmd.Context())
+			return bencher.NewOverhead(l, example, rounds, span, load, seed, cmd.OutOrStdout(), cmd.ErrOrStderr()).Run(cmd.Context())
 		},
 	}
 	cmd.Flags().StringVar(&example, "configuration", "examples/authority.json", "configuration to apply")
 	cmd.Flags().IntVar(&rounds, "rounds", 5, "rounds of load over each path")
 	cmd.Flags().DurationVar(&span, "span", 2*time.Second, "length of each round")
+	cmd.Flags().Float64Var(&load, "load", 0.5, "share of the instance's saturation rate")
 	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the arrival times")
 	return cmd
 }
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"burdocklane/parser"
@@ -42,7 +43,15 @@
 	return cmd
 }
 
+// gcPercent lets the heap grow to five times what is live before it is
+// collected: an instance's live heap is a few megabytes, and rare collections
+// keep the tail of the latency short. GOGC in the environment goes before it.
+const gcPercent = 400
+
 func serve(cmd *cobra.Command, settings parser.Settings) error {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	instance, err := supervisor.New(settings, supervisor.WithOutput(cmd.ErrOrStderr()))
 	if err != nil {
 		return err
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -39,8 +39,6 @@
 	// farPrior is added to the mean latency of workers in other places, as long
 	// as no call has been sent there.
 	farPrior = 20 * time.Millisecond
-	// overloadFactor times the target is the longest wait worth queueing for.
-	overloadFactor = 4
 )
 
 // roster is the immutable list of a service's workers. Requests load it once.
@@ -293,61 +291,6 @@
 	}
 }
 
-// wait puts the call into the queue until a slot, its deadline or its end.
-func (p *Pool) wait(ctx context.Context, ask Ask, since time.Time, seen Seen) Admission {
-	w := &waiter{ask: ask, since: since, ready: make(chan Granted, 1)}
-	if reason, ok := p.enqueue(w); !ok {
-		return Refused{reason: reason, seen: seen}
-	}
-	p.dispatch()
-	p.want(w)
-	patience := time.NewTimer(p.patience(ask))
-	defer patience.Stop()
-	select {
-	case granted := <-w.ready:
-		return p.granted(granted, since, seen)
-	case <-ctx.Done():
-		return p.leave(w, ReasonCancelled, since, seen)
-	case <-patience.C:
-		w.impatient.Store(true)
-		p.dispatch()
-	}
-	patience.Reset(time.Until(ask.deadline))
-	select {
-	case granted := <-w.ready:
-		return p.granted(granted, since, seen)
-	case <-ctx.Done():
-		return p.leave(w, ReasonCancelled, since, seen)
-	case <-patience.C:
-		return p.leave(w, ReasonDeadline, since, seen)
-	}
-}
-
-// patience is how long a call waits for a slot of the instance's own.
-func (p *Pool) patience(ask Ask) time.Duration {
-	left := time.Until(ask.deadline)
-	if ask.lending {
-		return left
-	}
-	return min(time.Duration(spillFactor*float64(p.mean.Load())), left)
-}
-
-// takeOverflow picks a worker of the region, or of another one while few calls
-// have gone there.
-func (p *Pool) takeOverflow(ask *Ask) (*tracker.Worker, bool) {
-	var seen Seen
-	worker, decision := p.try(picker.NewOverflow(false), ask, &seen)
-	if _, ok := decision.(picker.Send); ok {
-		return worker, true
-	}
-	if !p.far.Withdraw() {
-		return nil, false
-	}
-	worker, decision = p.try(picker.NewOverflow(true), ask, &seen)
-	_, ok := decision.(picker.Send)
-	return worker, ok
-}
-
 // meanAt returns the mean latency of workers at a distance, in nanoseconds.
 func (p *Pool) meanAt(distance int) int64 {
 	if mean := p.near[distance].Load(); mean > 0 {
@@ -365,89 +308,12 @@
 	return g
 }
 
-// enqueue refuses a call that cannot be served in time.
-func (p *Pool) enqueue(w *waiter) (Reason, bool) {
-	mean := time.Duration(p.mean.Load())
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	ahead := p.queue.own()
-	if ahead >= p.queueLimit {
-		return ReasonQueueFull, false
-	}
-	slots := max(p.Slots(), 1)
-	expected := mean * time.Duration(ahead+1) / time.Duration(slots)
-	if !w.ask.lending && time.Until(w.ask.deadline) < expected+mean/2 {
-		return ReasonDeadline, false
-	}
-	if !w.ask.lending && expected > overloadFactor*w.ask.target {
-		return ReasonOverload, false
-	}
-	p.queue.add(w, mean/time.Duration(slots))
-	p.waiting.Add(1)
-	return "", true
-}
-
-// leave takes w out of the queue. A grant that came meanwhile is used if the
-// call can still use it.
-func (p *Pool) leave(w *waiter, reason Reason, since time.Time, seen Seen) Admission {
-	p.mutex.Lock()
-	removed := p.queue.remove(w)
-	p.mutex.Unlock()
-	if removed {
-		p.waiting.Add(-1)
-	} else {
-		granted := <-w.ready
-		granted.Release()
-	}
-	return Refused{reason: reason, waited: time.Since(since), seen: seen}
-}
-
-// dispatch hands free slots to the calls that wait, the most urgent first, and
-// slots beyond the instance's own to those that have run out of patience. The
-// slot of a release that sees no waiter, and the waiter that sees no slot,
-// cannot miss each other: each writes its own side before it reads the other's.
-func (p *Pool) dispatch() {
-	if p.waiting.Load() == 0 {
-		return
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	var seen Seen
-	for {
-		head := p.queue.head()
-		if head == nil {
-			return
-		}
-		worker, decision := p.try(p.policy, &head.ask, &seen)
-		if _, ok := decision.(picker.Send); ok {
-			p.hand(head, Granted{pool: p, worker: worker})
-			continue
-		}
-		if !head.impatient.Load() {
-			return
-		}
-		worker, ok := p.takeOverflow(&head.ask)
-		if !ok {
-			return
-		}
-		p.hand(head, Granted{pool: p, worker: worker, overflow: true})
-	}
-}
-
-// hand gives a grant to a waiter; the caller holds the mutex.
-func (p *Pool) hand(w *waiter, g Granted) {
-	p.queue.remove(w)
-	p.waiting.Add(-1)
-	w.ready <- g
-}
-
 func (p *Pool) release(worker *tracker.Worker, loan *Loan) {
 	if loan != nil {
 		p.releaseLoan(loan)
 		return
 	}
-	worker.Release(p.Now())
-	p.noteHeld(-1)
+	p.giveBack(worker)
 	p.dispatch()
 }
 
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -19,8 +19,7 @@
 	if _, ok := decision.(picker.Send); ok && !ask.avoids(worker.ID()) {
 		return Granted{pool: p, worker: worker, seen: seen}, true
 	} else if ok {
-		worker.Release(p.Now())
-		p.noteHeld(-1)
+		p.giveBack(worker)
 	}
 	worker, ok := p.takeOverflow(&ask)
 	return Granted{pool: p, worker: worker, overflow: true, seen: seen}, ok
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -176,16 +176,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			var seen strings.Builder
-			address, violations := open(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				body, _ := io.ReadAll(r.Body)
-				fmt.Fprintf(&seen, "%s %s\r\n", r.Method, r.URL.RequestURI())
-				r.Header.Write(&seen)
-				r.Trailer.Write(&seen)
-				fmt.Fprintf(&seen, "\r\n%s", body)
-				w.Header().Set("X-Hop", "h")
-				w.Header().Set("Connection", "X-Hop")
-				io.WriteString(w, "done")
-			}), descriptor.AtMostOnce{})
+			address, violations := open(c, writeDown(&seen), descriptor.AtMostOnce{})
 			answer := exchange(c, address, test.raw)
 			c.Assert(answer, qt.Contains, "done")
 			c.Assert(answer, qt.Not(qt.Contains), "X-Hop")
@@ -203,6 +194,20 @@
 	}
 }
 
+// writeDown is a worker that writes down the request that it got.
+func writeDown(seen *strings.Builder) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(seen, "%s %s\r\n", r.Method, r.URL.RequestURI())
+		r.Header.Write(seen)
+		r.Trailer.Write(seen)
+		fmt.Fprintf(seen, "\r\n%s", body)
+		w.Header().Set("X-Hop", "h")
+		w.Header().Set("Connection", "X-Hop")
+		io.WriteString(w, "done")
+	})
+}
+
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"),
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -164,10 +164,8 @@
 	return score
 }
 
-// byExpectedLatency also spreads the calls: the number of slots may be wrong,
-// and then calls at the same worker wait for each other.
 func byExpectedLatency(c *Candidate) int64 {
-	score := c.latency * int64(c.inFlight+1)
+	score := c.latency
 	if c.state == Suspect {
 		score += suspectPenalty
 	}
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -20,7 +20,7 @@
 	BudgetShare = 0.1
 
 	// hedgeFactor times the mean latency is when a second attempt starts.
-	hedgeFactor = 3
+	hedgeFactor = 2.5
 )
 
 // Step is what follows an attempt: Again or Settle.
@@ -175,5 +175,5 @@
 	if mean <= 0 || !replayable || !call.MayRepeat() {
 		return 0, false
 	}
-	return hedgeFactor * mean, true
+	return time.Duration(hedgeFactor * float64(mean)), true
 }
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -14,8 +14,9 @@
 const (
 	// latencyWeight is the share of a new observation in the moving average.
 	latencyWeight = 0.2
-	// latencyHalfLife is how fast an old observation loses its meaning.
-	latencyHalfLife = 500 * time.Millisecond
+	// latencyHalfLife times the service's mean latency is how fast an old
+	// observation loses its meaning.
+	latencyHalfLife = 50
 	// suspectFactor times the mean latency without progress makes a worker suspect.
 	suspectFactor = 2.5
 	// failuresToEject is the number of failures in a row that ejects a worker.
@@ -209,14 +210,15 @@
 // moving average, which fades to the mean of its service when it grows old.
 func (w *Worker) Expected(mean int64, now time.Duration) int64 {
 	latency := w.latency.Load()
-	if latency == 0 {
+	if latency == 0 || mean == 0 {
 		return mean
 	}
 	age := now - time.Duration(w.observedAt.Load())
 	if age <= 0 {
 		return latency
 	}
-	weight := float64(latencyHalfLife) / float64(latencyHalfLife+age)
+	halfLife := float64(latencyHalfLife * mean)
+	weight := halfLife / (halfLife + float64(age))
 	return mean + int64(weight*float64(latency-mean))
 }
 
