Run a call's first attempt on its own goroutine

Ruled out: garbage collection alone (GOGC 800 left the relay's and the instance's tail alike); the machine (an idle loop on it has p99.9 of 22 us).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -154,9 +154,14 @@
 }
 
 // learn tells the pool what the attempt showed of the worker, and the history
-// what it may have done.
+// what it may have done at it.
 func (r *run) learn(a *attempt) {
 	r.history = r.history.After(a.result)
+	r.teach(a)
+}
+
+// teach tells the pool what the attempt showed of the worker.
+func (r *run) teach(a *attempt) {
 	r.d.meter.attempt(a.result)
 	pool := r.lane.Pool()
 	switch result := a.result.(type) {
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -2,15 +2,25 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"burdocklane/limiter"
 	"burdocklane/retrier"
 )
 
+// hedge is a second attempt that starts beside a late first one.
+type hedge struct {
+	mutex    sync.Mutex // Guards closed and attempt.
+	closed   bool
+	attempt  *attempt
+	finished chan struct{}
+}
+
 // race makes an attempt, and a hedged one beside it when the first is late.
 // It returns the attempt to decide on, with its slot held; the loser is
-// cancelled and gives its slot back when it ends.
+// cancelled and gives its slot back when it ends. The first attempt runs on the
+// call's own goroutine: most calls are never hedged.
 func (r *run) race(ctx context.Context, granted limiter.Granted) *attempt {
 	first := r.start(ctx, granted, r.reason(granted))
 	delay, ok := retrier.HedgeDelay(r.call, r.replayable, r.lane.Pool().Mean())
@@ -19,94 +29,111 @@
 		r.learn(first)
 		return first
 	}
-	finished := make(chan *attempt, retrier.MostAttempts)
-	r.launch(first, finished)
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case a := <-finished:
-		r.learn(a)
-		return a
-	case <-timer.C:
-	}
-	second := r.hedge(ctx)
-	if second == nil {
-		a := <-finished
-		r.learn(a)
-		return a
+	h := &hedge{finished: make(chan struct{})}
+	r.d.running.Add(1)
+	timer := time.AfterFunc(delay, func() { r.runHedge(ctx, h, first) })
+	r.send(first)
+	if timer.Stop() {
+		r.d.running.Done()
+		r.learn(first)
+		return first
 	}
-	r.launch(second, finished)
-	return r.winner(first, second, finished)
+	return r.choose(h, first)
 }
 
-func (r *run) reason(granted limiter.Granted) string {
-	switch {
-	case r.numbered > 0:
-		return "retry"
-	case granted.Borrowed():
-		return "borrowed-slot"
-	case granted.Overflowed():
-		return "overflow"
-	case granted.Waited() > 0:
-		return "waited-for-slot"
+// runHedge makes the second attempt. If it is answered, the first is cancelled.
+func (r *run) runHedge(ctx context.Context, h *hedge, first *attempt) {
+	defer r.d.running.Done()
+	defer close(h.finished)
+	if !r.beginHedge(ctx, h) {
+		return
+	}
+	r.send(h.attempt)
+	if answered(h.attempt) {
+		first.cancel()
 	}
-	return "free-slot"
-}
-
-func (r *run) launch(a *attempt, finished chan<- *attempt) {
-	r.d.running.Go(func() {
-		r.send(a)
-		finished <- a
-	})
 }
 
-// hedge takes a free slot at another worker, if there is one and the budget
-// allows it. A hedged request never waits.
-func (r *run) hedge(ctx context.Context) *attempt {
+// beginHedge takes a slot at another worker, if there is one and the budget
+// allows it, unless the first attempt has ended meanwhile. It never waits.
+func (r *run) beginHedge(ctx context.Context, h *hedge) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.closed {
+		return false
+	}
 	granted, ok := r.lane.Pool().TryAcquire(r.ask())
 	if !ok {
-		return nil
+		return false
 	}
 	if !r.lane.Budget().Withdraw() {
 		granted.Release()
-		return nil
+		return false
 	}
 	r.d.meter.hedges.Inc()
-	return r.start(ctx, granted, "hedge")
+	h.attempt = r.start(ctx, granted, "hedge")
+	return true
 }
 
-// winner returns the first attempt of two that was answered, or the last one.
-func (r *run) winner(first, second *attempt, finished <-chan *attempt) *attempt {
-	a := <-finished
-	r.learn(a)
-	other := first
-	if a == first {
-		other = second
+// choose returns the first attempt if it was answered or was the only one, and
+// else the hedged one if that was.
+func (r *run) choose(h *hedge, first *attempt) *attempt {
+	h.mutex.Lock()
+	h.closed = true
+	second := h.attempt
+	h.mutex.Unlock()
+	switch {
+	case second == nil:
+		r.learn(first)
+		return first
+	case answered(first):
+		r.learn(first)
+		r.dropLater(h, second)
+		return first
 	}
-	if answered(a) {
-		r.dropLater(other, finished)
-		return a
+	<-h.finished
+	if answered(second) && first.ctx.Err() != nil {
+		// The first was cancelled for the second's sake: no fault of its worker.
+		r.history = r.history.After(first.result).After(second.result)
+		r.teach(second)
+		r.abandon(first)
+		return second
 	}
-	<-finished
-	r.learn(other)
-	if answered(other) {
-		r.abandon(a)
-		return other
+	r.learn(first)
+	r.learn(second)
+	if answered(second) {
+		r.abandon(first)
+		return second
 	}
-	r.abandon(other)
-	return a
-}
-
-func answered(a *attempt) bool {
-	_, ok := a.result.(retrier.Answered)
-	return ok
+	r.abandon(second)
+	return first
 }
 
 // dropLater cancels an attempt in flight and gives its slot back when it ends.
-func (r *run) dropLater(a *attempt, finished <-chan *attempt) {
+func (r *run) dropLater(h *hedge, a *attempt) {
 	a.cancel()
+	r.history = r.history.After(retrier.NewLost(nil))
 	r.d.running.Go(func() {
-		<-finished
+		<-h.finished
 		a.granted.Release()
 	})
 }
+
+func answered(a *attempt) bool {
+	_, ok := a.result.(retrier.Answered)
+	return ok
+}
+
+func (r *run) reason(granted limiter.Granted) string {
+	switch {
+	case r.numbered > 0:
+		return "retry"
+	case granted.Borrowed():
+		return "borrowed-slot"
+	case granted.Overflowed():
+		return "overflow"
+	case granted.Waited() > 0:
+		return "waited-for-slot"
+	}
+	return "free-slot"
+}
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -21,6 +21,9 @@
 
 	// hedgeFactor times the mean latency is when a second attempt starts.
 	hedgeFactor = 2.5
+	// hedgeFloor is the shortest delay of a hedged request: below it the
+	// precision of timers and the machine's own noise would start them.
+	hedgeFloor = 2 * time.Millisecond
 )
 
 // Step is what follows an attempt: Again or Settle.
@@ -175,5 +178,5 @@
 	if mean <= 0 || !replayable || !call.MayRepeat() {
 		return 0, false
 	}
-	return time.Duration(hedgeFactor * float64(mean)), true
+	return max(time.Duration(hedgeFactor*float64(mean)), hedgeFloor), true
 }
