--- a/bencher/control.go
+++ b/bencher/control.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	controlSettle   = 3 * time.Second
+	controlSettle   = 20 * time.Second
 	controlSpan     = 10 * time.Second
 	controlChanges  = 10
 	changeGap       = 300 * time.Millisecond
--- a/bencher/setup.go
+++ b/bencher/setup.go
@@ -19,13 +19,17 @@
 	keyPrefix    = "/burdocklane/"
 )
 
-// applyExample puts a configuration file into the store of a stand-in.
-func applyExample(ctx context.Context, platform, file string) error {
+func readDeployment(file string) (descriptor.Deployment, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return errors.Wrap(err, "read configuration")
+		return descriptor.Deployment{}, errors.Wrap(err, "read configuration")
 	}
-	deployment, err := parser.Deployment(file, data)
+	return parser.Deployment(file, data)
+}
+
+// applyExample puts a configuration file into the store of a stand-in.
+func applyExample(ctx context.Context, platform, file string) error {
+	deployment, err := readDeployment(file)
 	if err != nil {
 		return err
 	}
--- a/commander/bench.go
+++ b/commander/bench.go
@@ -15,7 +15,7 @@
 
 func newBench() *cobra.Command {
 	return group("bench", "Measure the product with processes on this machine",
-		newBenchOverhead(), newBenchRouting(), newBenchControl(), newBenchRelay())
+		newBenchOverhead(), newBenchRouting(), newBenchControl(), newBenchSoak(), newBenchRelay())
 }
 
 // newLauncher starts processes of this program in a directory of their own. It
@@ -132,6 +132,34 @@
 	return cmd
 }
 
+func newBenchSoak() *cobra.Command {
+	var example string
+	var length time.Duration
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run load and random faults, and compare what callers saw with what ran",
+		Long: `Starts workers and instances as processes, sends load, and plays faults in an
+order drawn from the seed: workers and instances are killed, frozen, stopped as
+planned; the store is down, slow or loses answers; operators race. In the end
+the workers' journals are compared with what the callers were told. Exit status
+1 means that a promise was broken; the JSON line on standard output says which.`,
+		Args: exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, done, err := newLauncher()
+			if err != nil {
+				return err
+			}
+			defer done()
+			return bencher.NewSoak(l, example, length, seed, cmd.OutOrStdout(), cmd.ErrOrStderr()).Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&example, "configuration", "examples/authority.json", "configuration to apply")
+	cmd.Flags().DurationVar(&length, "for", time.Minute, "how long to send load")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the load and the faults")
+	return cmd
+}
+
 func newBenchRelay() *cobra.Command {
 	var address, to string
 	cmd := &cobra.Command{
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// Dir returns the directory of the settings and logs.
+func (l *Launcher) Dir() string { return l.dir }
+
 // Platform returns the base URL of the platform's stand-in.
 func (l *Launcher) Platform() string { return l.platform }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -80,7 +80,8 @@
 		total += s.weight
 	}
 	at := rng.IntN(total)
-	target := p.targets[rng.IntN(len(p.targets))]
+	targets := p.targets()
+	target := targets[rng.IntN(len(targets))]
 	for _, s := range p.shots {
 		if at -= s.weight; at < 0 {
 			return s, target
--- a/loader/plan.go
+++ b/loader/plan.go
@@ -30,7 +30,7 @@
 
 // Plan says how much of what is sent where, and for how long.
 type Plan struct {
-	targets  []string
+	targets  func() []string
 	shots    []Shot
 	rate     float64
 	duration time.Duration
@@ -67,10 +67,14 @@
 // WithPrefix sets how the request IDs begin.
 func WithPrefix(prefix string) Option { return func(p *Plan) { p.prefix = prefix } }
 
+// WithTargets asks for the targets anew for each call, as a balancer does that
+// follows the instances' readiness. There must always be one.
+func WithTargets(targets func() []string) Option { return func(p *Plan) { p.targets = targets } }
+
 // NewPlan returns a plan of calls a second to the targets, host:port, which
 // are drawn at random as the platform's balancer does.
 func NewPlan(targets []string, shots []Shot, rate float64, duration time.Duration, opts ...Option) Plan {
-	p := Plan{targets: targets, shots: shots, rate: rate, duration: duration, seed: 1, prefix: "load", observe: func(Outcome) {}}
+	p := Plan{targets: func() []string { return targets }, shots: shots, rate: rate, duration: duration, seed: 1, prefix: "load", observe: func(Outcome) {}}
 	for _, opt := range opts {
 		opt(&p)
 	}
