--- a/exchanger/security_test.go
+++ b/exchanger/security_test.go
@@ -5,12 +5,14 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -125,6 +127,38 @@
 	return pairs
 }
 
+// A client that does not care whom it speaks to needs a certificate of ours all
+// the same.
+func TestAHostileClientIsTurnedAway(t *testing.T) {
+	tests := []struct {
+		name         string
+		certificates func(c *qt.C) []tls.Certificate
+	}{
+		{"without a certificate", func(*qt.C) []tls.Certificate { return nil }},
+		{"with a certificate of another authority", func(c *qt.C) []tls.Certificate {
+			other := newAuthority(c)
+			other.security()
+			pair, err := tls.LoadX509KeyPair(filepath.Join(other.dir, "instance.pem"), filepath.Join(other.dir, "instance.key"))
+			c.Assert(err, qt.IsNil)
+			return []tls.Certificate{pair}
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x, p, _ := node(c, newAuthority(c).security())
+			transport := &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{
+				InsecureSkipVerify: true, Certificates: test.certificates(c),
+			}}
+			defer transport.CloseIdleConnections()
+			stub := messenger.NewPeersProtobufClient("https://"+x.Address(), &http.Client{Transport: transport, Timeout: 5 * time.Second})
+			_, err := stub.Exchange(context.Background(), &messenger.ExchangeRequest{Instance: "b", Pairs: configuration(c)})
+			c.Assert(err, qt.Not(qt.IsNil))
+			c.Assert(p.Current().Ready(), qt.IsFalse)
+		})
+	}
+}
+
 func TestOnlyOurOwnPeersReadAndFeedConfigurations(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -117,7 +117,7 @@
 // at-most-once call is tried again only if no attempt can have run. A retry is
 // taken from the budget.
 func Next(call *classifier.Call, h History, latest Result, budget *budgeter.Share, now time.Time) Step {
-	if !wantsRetry(call, latest) || h.attempts >= MostAttempts || !h.replayable {
+	if !wantsRetry(latest) || h.attempts >= MostAttempts || !h.replayable {
 		return settle(h, latest)
 	}
 	if h.MaybeRan() && !call.MayRepeat() {
@@ -130,14 +130,14 @@
 	return Again{delay: delay}
 }
 
-func wantsRetry(call *classifier.Call, latest Result) bool {
+// wantsRetry tells whether another attempt could do better. Whether it may be
+// made is for Next to say.
+func wantsRetry(latest Result) bool {
 	switch r := latest.(type) {
-	case Unsent, Declined:
+	case Unsent, Declined, Lost:
 		return true
-	case Lost:
-		return call.MayRepeat()
 	case Answered:
-		return call.MayRepeat() && temporary(r.status)
+		return temporary(r.status)
 	}
 	return false
 }
