--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -66,8 +66,8 @@
 	lane := snapshot.Lane(call.Service().Name())
 	lane.Budget().Deposit()
 	d.inFlight.Add(1)
-	r := &run{d: d, lane: lane, call: &call, transmit: transmit, replayable: replayable}
-	verdict := r.attempts(ctx)
+	r := &run{d: d, ctx: ctx, lane: lane, call: &call, transmit: transmit, replayable: replayable}
+	verdict := r.attempts()
 	if _, done := verdict.(Done); !done {
 		d.inFlight.Add(-1)
 	}
@@ -77,6 +77,7 @@
 // run is one call on its way through the filters.
 type run struct {
 	d          *Dispatcher
+	ctx        context.Context // The caller's.
 	lane       *publisher.Lane
 	call       *classifier.Call
 	transmit   Transmit
@@ -98,22 +99,22 @@
 }
 
 // attempts makes one attempt after another until the retrier settles the call.
-func (r *run) attempts(ctx context.Context) Verdict {
+func (r *run) attempts() Verdict {
 	r.history = retrier.NewHistory(r.replayable)
 	for {
-		admission := r.lane.Pool().Acquire(ctx, r.ask())
+		admission := r.lane.Pool().Acquire(r.ctx, r.ask())
 		granted, ok := admission.(limiter.Granted)
 		if !ok {
 			return r.refused(admission.(limiter.Refused))
 		}
-		last := r.race(ctx, granted)
+		last := r.race(granted)
 		step := retrier.Next(r.call, r.history, last.result, r.lane.Budget(), time.Now())
 		switch s := step.(type) {
 		case retrier.Settle:
 			return r.settle(last, s.Outcome())
 		case retrier.Again:
 			r.abandon(last)
-			if !sleep(ctx, s.Delay()) {
+			if !sleep(r.ctx, s.Delay()) {
 				return r.gaveUp("cancelled")
 			}
 		}
@@ -126,10 +127,10 @@
 }
 
 // start begins an attempt with a granted slot.
-func (r *run) start(ctx context.Context, granted limiter.Granted, reason string) *attempt {
+func (r *run) start(granted limiter.Granted, reason string) *attempt {
 	worker := granted.Worker().Member()
 	a := &attempt{number: r.numbered, granted: granted, worker: worker, start: time.Now()}
-	a.ctx, a.cancel = context.WithCancel(ctx)
+	a.ctx, a.cancel = context.WithCancel(r.ctx)
 	r.numbered++
 	r.avoid = append(r.avoid, worker.ID())
 	r.checkLeaving(granted)
@@ -160,9 +161,13 @@
 	r.teach(a)
 }
 
-// teach tells the pool what the attempt showed of the worker.
+// teach tells the pool what the attempt showed of the worker. An attempt that
+// the caller gave up shows nothing.
 func (r *run) teach(a *attempt) {
 	r.d.meter.attempt(a.result)
+	if r.ctx.Err() != nil {
+		return
+	}
 	pool := r.lane.Pool()
 	switch result := a.result.(type) {
 	case retrier.Answered:
@@ -190,7 +195,8 @@
 	switch o := outcome.(type) {
 	case retrier.Passed:
 		r.record("pass", retrier.Text(a.result), a, 0, took, a.granted.Seen())
-		return Done{attempt: a.number, call: r.call, finish: r.finisher(a)}
+		_, declined := a.result.(retrier.Declined)
+		return Done{attempt: a.number, declined: declined, finish: r.finisher(a)}
 	case retrier.NotRun:
 		r.abandon(a)
 		r.record("refuse", o.Reason(), a, 0, took, a.granted.Seen())
@@ -228,7 +234,7 @@
 		a.cancel()
 		a.granted.Release()
 		r.d.inFlight.Add(-1)
-		r.d.meter.finished(r.call, time.Since(r.call.Arrival()), whole)
+		r.d.meter.finished(r.call, time.Since(r.call.Arrival()), a.result, whole)
 		if !whole {
 			r.record("broken", "transfer-broken", a, 0, time.Since(r.call.Arrival()), a.granted.Seen())
 		}
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -21,8 +20,8 @@
 // It returns the attempt to decide on, with its slot held; the loser is
 // cancelled and gives its slot back when it ends. The first attempt runs on the
 // call's own goroutine: most calls are never hedged.
-func (r *run) race(ctx context.Context, granted limiter.Granted) *attempt {
-	first := r.start(ctx, granted, r.reason(granted))
+func (r *run) race(granted limiter.Granted) *attempt {
+	first := r.start(granted, r.reason(granted))
 	delay, ok := retrier.HedgeDelay(r.call, r.replayable, r.lane.Pool().Mean())
 	if !ok || !r.d.hedging || r.numbered >= retrier.MostAttempts {
 		r.send(first)
@@ -31,7 +30,7 @@
 	}
 	h := &hedge{finished: make(chan struct{})}
 	r.d.running.Add(1)
-	timer := time.AfterFunc(delay, func() { r.runHedge(ctx, h, first) })
+	timer := time.AfterFunc(delay, func() { r.runHedge(h, first) })
 	r.send(first)
 	if timer.Stop() {
 		r.d.running.Done()
@@ -42,10 +41,10 @@
 }
 
 // runHedge makes the second attempt. If it is answered, the first is cancelled.
-func (r *run) runHedge(ctx context.Context, h *hedge, first *attempt) {
+func (r *run) runHedge(h *hedge, first *attempt) {
 	defer r.d.running.Done()
 	defer close(h.finished)
-	if !r.beginHedge(ctx, h) {
+	if !r.beginHedge(h) {
 		return
 	}
 	r.send(h.attempt)
@@ -56,7 +55,7 @@
 
 // beginHedge takes a slot at another worker, if there is one and the budget
 // allows it, unless the first attempt has ended meanwhile. It never waits.
-func (r *run) beginHedge(ctx context.Context, h *hedge) bool {
+func (r *run) beginHedge(h *hedge) bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.closed {
@@ -71,7 +70,7 @@
 		return false
 	}
 	r.d.meter.hedges.Inc()
-	h.attempt = r.start(ctx, granted, "hedge")
+	h.attempt = r.start(granted, "hedge")
 	return true
 }
 
--- a/dispatcher/meter.go
+++ b/dispatcher/meter.go
@@ -28,6 +28,7 @@
 	met     *metrics.Counter
 	missed  *metrics.Counter
 	broken  *metrics.Counter
+	failed  *metrics.Counter
 }
 
 func newMeter() *meter {
@@ -49,12 +50,17 @@
 		serviceLabel(call.Service().Name(), call.Class().Name()) + `,outcome="` + outcome + `"}`).Inc()
 }
 
-func (m *meter) finished(call *classifier.Call, took time.Duration, whole bool) {
+// finished counts a call whose answer was passed on. A worker's own refusal or
+// error meets no target.
+func (m *meter) finished(call *classifier.Call, took time.Duration, result retrier.Result, whole bool) {
 	c := m.class(call.Service().Name(), call.Class().Name())
 	c.latency.Update(took.Seconds())
+	answer, ok := result.(retrier.Answered)
 	switch {
 	case !whole:
 		c.broken.Inc()
+	case !ok || answer.Status() >= leastServerError:
+		c.failed.Inc()
 	case took <= call.Class().Target().Latency():
 		c.met.Inc()
 	default:
@@ -73,6 +79,7 @@
 		met:     metrics.GetOrCreateCounter(`burdocklane_calls_total{` + label + `,outcome="target-met"}`),
 		missed:  metrics.GetOrCreateCounter(`burdocklane_calls_total{` + label + `,outcome="target-missed"}`),
 		broken:  metrics.GetOrCreateCounter(`burdocklane_calls_total{` + label + `,outcome="broken"}`),
+		failed:  metrics.GetOrCreateCounter(`burdocklane_calls_total{` + label + `,outcome="worker-error"}`),
 	})
 	return found.(*classMeter)
 }
--- a/dispatcher/verdict.go
+++ b/dispatcher/verdict.go
@@ -21,9 +21,9 @@
 
 // Done says that an attempt's answer is to be passed on.
 type Done struct {
-	attempt int
-	call    *classifier.Call
-	finish  func(whole bool)
+	attempt  int
+	declined bool
+	finish   func(whole bool)
 }
 
 // NotRun says that no worker ran the call.
@@ -47,6 +47,10 @@
 // Attempt returns the number of the attempt whose answer is passed on.
 func (d Done) Attempt() int { return d.attempt }
 
+// Declined tells whether the worker's answer promises that the call did not
+// run.
+func (d Done) Declined() bool { return d.declined }
+
 // Finish ends the call: it must be called once, when the answer has been
 // passed on, or has broken off before its end.
 func (d Done) Finish(whole bool) { d.finish(whole) }
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -23,6 +23,9 @@
 	case <-ctx.Done():
 		return p.leave(w, ReasonCancelled, since, seen)
 	case <-patience.C:
+		if ask.lending {
+			return p.leave(w, ReasonDeadline, since, seen)
+		}
 		w.impatient.Store(true)
 		p.dispatch()
 	}
@@ -37,7 +40,8 @@
 	}
 }
 
-// patience is how long a call waits for a slot of the instance's own.
+// patience is how long a call waits for a slot of the instance's own. A peer's
+// ask never overflows.
 func (p *Pool) patience(ask Ask) time.Duration {
 	left := time.Until(ask.deadline)
 	if ask.lending {
@@ -70,14 +74,14 @@
 
 // worthWaiting returns the longest wait after which a call still has a good
 // chance to meet its target. A longer queue is of no use: it would make all
-// calls late.
+// calls late. One mean latency is always worth waiting, however tight the
+// target.
 func worthWaiting(target, mean time.Duration) time.Duration {
 	const chances = 2 // A call rarely takes longer than twice the mean.
-	return max(target-chances*mean, target/4)
+	return max(target-chances*mean, mean)
 }
 
-// leave takes w out of the queue. A grant that came meanwhile is used if the
-// call can still use it.
+// leave takes w out of the queue, and gives back a slot that came meanwhile.
 func (p *Pool) leave(w *waiter, reason Reason, since time.Time, seen Seen) Admission {
 	p.mutex.Lock()
 	removed := p.queue.remove(w)
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -112,6 +112,9 @@
 	h.asserter.Check(response.Request.Header.Get(HeaderRequestID) == id, asserter.WholeAnswer, func(e *zerolog.Event) {
 		e.Str("request-id", id).Str("answered", response.Request.Header.Get(HeaderRequestID))
 	})
+	if done.Declined() {
+		response.Header.Set(HeaderOutcome, outcomeNotRun)
+	}
 	writeHeader(w, id, response)
 	if err := h.copyBody(w, response); err != nil {
 		panic(http.ErrAbortHandler)
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -194,6 +194,23 @@
 	}
 }
 
+func TestClearTextHTTP2(t *testing.T) {
+	c := qt.New(t)
+	var seen strings.Builder
+	address, _ := open(c, writeDown(&seen), descriptor.Idempotent{})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + address + "/a")
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Proto, qt.Equals, "HTTP/2.0")
+	c.Assert(string(body), qt.Equals, "done")
+}
+
 // writeDown is a worker that writes down the request that it got.
 func writeDown(seen *strings.Builder) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -25,7 +25,10 @@
 	ejectionMost    = 30 * time.Second
 	pauseMost       = 30 * time.Second
 	slowStartLimit  = 1
-	fullSpeedSlots  = math.MaxInt32 / 2
+	// drainLapse is how long a worker's own word that it is leaving counts, if
+	// the platform's list keeps it as live.
+	drainLapse     = time.Minute
+	fullSpeedSlots = math.MaxInt32 / 2
 )
 
 // Worker is the state of one worker. Times are durations since the process
@@ -189,9 +192,20 @@
 	return pause
 }
 
-// Drain notes that the worker is leaving. It returns true the first time.
-func (w *Worker) Drain(now time.Duration) bool {
-	return w.leavingSince.CompareAndSwap(0, max(int64(now), 1))
+// Drain notes that the worker is leaving, by the platform's list or by its own
+// word.
+func (w *Worker) Drain(now time.Duration) {
+	since := w.leavingSince.Load()
+	if since != 0 && !w.lapsed(since, now) {
+		return
+	}
+	w.leavingSince.CompareAndSwap(since, max(int64(now), 1))
+}
+
+// lapsed tells whether a worker's own word that it is leaving has grown old,
+// while the list has it as live: it may have come back at the same address.
+func (w *Worker) lapsed(since int64, now time.Duration) bool {
+	return !w.member.Load().Leaving() && int64(now)-since > int64(drainLapse)
 }
 
 // Stay takes back an earlier Drain, for a worker that is listed as live again.
@@ -200,7 +214,7 @@
 // LeavingFor returns for how long the worker has been known to leave, or 0.
 func (w *Worker) LeavingFor(now time.Duration) time.Duration {
 	since := w.leavingSince.Load()
-	if since == 0 {
+	if since == 0 || w.lapsed(since, now) {
 		return 0
 	}
 	return now - time.Duration(since)
@@ -226,7 +240,7 @@
 // its service in nanoseconds.
 func (w *Worker) State(mean int64, now time.Duration) picker.State {
 	switch {
-	case w.leavingSince.Load() != 0:
+	case w.leaving(now):
 		return picker.Leaving
 	case w.pausedUntil.Load() > int64(now):
 		return picker.Paused
@@ -238,6 +252,11 @@
 	return picker.Usable
 }
 
+func (w *Worker) leaving(now time.Duration) bool {
+	since := w.leavingSince.Load()
+	return since != 0 && !w.lapsed(since, now)
+}
+
 func (w *Worker) stalled(mean int64, now time.Duration) bool {
 	if mean == 0 || w.inFlight.Load() == 0 {
 		return false
--- /dev/null
+++ b/tracker/worker_test.go
@@ -0,0 +1,82 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"burdocklane/picker"
+	"burdocklane/registrar"
+	"burdocklane/tracker"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const mean = int64(10 * time.Millisecond)
+
+func member(leaving bool) registrar.Worker {
+	return registrar.NewWorker("w", "s", "127.0.0.1:1", registrar.NewPlace("r", "z"), 4, leaving)
+}
+
+func TestStates(t *testing.T) {
+	type step func(w *tracker.Worker)
+	fail := func(at time.Duration) step { return func(w *tracker.Worker) { w.Failed(at) } }
+	tests := []struct {
+		name  string
+		steps []step
+		at    time.Duration
+		want  picker.State
+	}{
+		{"new", nil, 0, picker.Usable},
+		{"two failures are no reason", []step{fail(0), fail(0)}, 0, picker.Usable},
+		{"three failures eject", []step{fail(0), fail(0), fail(0)}, time.Millisecond, picker.Ejected},
+		{"for a second", []step{fail(0), fail(0), fail(0)}, time.Second + 1, picker.Usable},
+		{"one more failure ejects for two", []step{fail(0), fail(0), fail(0), fail(time.Second + 1)}, 2500 * time.Millisecond, picker.Ejected},
+		{"a good answer clears", []step{fail(0), fail(0), func(w *tracker.Worker) { w.Succeeded(1, 0) }, fail(0)}, 1, picker.Usable},
+		{"a refused connection ejects at once", []step{func(w *tracker.Worker) { w.Unreachable(0) }}, 1, picker.Ejected},
+		{"retry-after pauses", []step{func(w *tracker.Worker) { w.Shed(2*time.Second, 0) }}, time.Second, picker.Paused},
+		{"retry-after is bounded", []step{func(w *tracker.Worker) { w.Shed(time.Hour, 0) }}, 31 * time.Second, picker.Usable},
+		{"a call without progress is suspect", []step{func(w *tracker.Worker) { w.Acquire(0) }}, 26 * time.Millisecond, picker.Suspect},
+		{"its own word that it leaves", []step{func(w *tracker.Worker) { w.Drain(0) }}, 30 * time.Second, picker.Leaving},
+		{"the word lapses if the list keeps it", []step{func(w *tracker.Worker) { w.Drain(0) }}, 2 * time.Minute, picker.Usable},
+		{"and counts anew", []step{func(w *tracker.Worker) { w.Drain(0) }, func(w *tracker.Worker) { w.Drain(2 * time.Minute) }}, 2*time.Minute + 1, picker.Leaving},
+		{"the list's word does not lapse", []step{func(w *tracker.Worker) { w.Update(member(true), 0); w.Drain(0) }}, 2 * time.Minute, picker.Leaving},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := tracker.NewWorker(member(false), 0, false)
+			w.SetShare(4)
+			for _, s := range test.steps {
+				s(w)
+			}
+			qt.Assert(t, w.State(mean, test.at), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestSlowStartAndShedding(t *testing.T) {
+	c := qt.New(t)
+	w := tracker.NewWorker(member(false), 0, true)
+	w.SetShare(4)
+	for want := int32(1); want <= 4; want++ {
+		c.Assert(w.Limit(), qt.Equals, want)
+		for range want {
+			c.Assert(w.TryAcquire(0, w.Limit()), qt.IsTrue)
+		}
+		c.Assert(w.TryAcquire(0, w.Limit()), qt.IsFalse)
+		w.Succeeded(time.Millisecond, 0)
+		for range want {
+			w.Release(0)
+		}
+	}
+	w.Shed(0, 0)
+	c.Assert(w.Limit(), qt.Equals, int32(2))
+}
+
+func TestAnOldObservationFades(t *testing.T) {
+	c := qt.New(t)
+	w := tracker.NewWorker(member(false), 0, false)
+	w.Succeeded(100*time.Millisecond, 0)
+	c.Assert(w.Expected(mean, 0), qt.Equals, int64(100*time.Millisecond))
+	c.Assert(w.Expected(mean, 50*time.Duration(mean)) < int64(60*time.Millisecond), qt.IsTrue)
+	c.Assert(w.Expected(mean, time.Hour) < int64(11*time.Millisecond), qt.IsTrue)
+}
