Count what overflow adds when a call's wait is foretold

Ruled out: no shedding by target (under overload everything is then late). Change: half as many slots again count as serving the queue.

--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -50,6 +50,10 @@
 	return min(time.Duration(spillFactor*float64(p.mean.Load())), left)
 }
 
+// overflowServes halves of the own slots serve the queue: overflow and loans
+// add to them.
+const overflowServes = 3
+
 // enqueue refuses a call that cannot be served in time.
 func (p *Pool) enqueue(w *waiter) (Reason, bool) {
 	mean := time.Duration(p.mean.Load())
@@ -59,7 +63,7 @@
 	if ahead >= p.queueLimit {
 		return ReasonQueueFull, false
 	}
-	slots := max(p.Slots(), 1)
+	slots := max(p.Slots()*overflowServes/2, 1)
 	expected := mean * time.Duration(ahead+1) / time.Duration(slots)
 	if !w.ask.lending && time.Until(w.ask.deadline) < expected+mean/2 {
 		return ReasonDeadline, false
