--- a/lender/borrower.go
+++ b/lender/borrower.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/asserter"
 	"burdocklane/budgeter"
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
@@ -18,6 +19,7 @@
 	"burdocklane/registrar"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -54,6 +56,7 @@
 	self      registrar.Instance
 	publisher *publisher.Publisher
 	account   *budgeter.Account
+	asserter  *asserter.Asserter
 	client    *http.Client
 	scheme    string
 	peers     Peers
@@ -71,11 +74,12 @@
 func NewWants() chan limiter.Want { return make(chan limiter.Want, wantsBuffer) }
 
 // New returns a Lender for the pools of p that lends. Start makes it borrow.
-func New(self registrar.Instance, wants chan limiter.Want, p *publisher.Publisher, account *budgeter.Account) *Lender {
+func New(self registrar.Instance, wants chan limiter.Want, p *publisher.Publisher, account *budgeter.Account, a *asserter.Asserter) *Lender {
 	return &Lender{
 		self:      self,
 		publisher: p,
 		account:   account,
+		asserter:  a,
 		wants:     wants,
 		returns:   make(chan *limiter.Loan, wantsBuffer),
 		asking:    make(chan struct{}, asksAtOnce),
@@ -155,6 +159,9 @@
 			brokeTotal.Inc()
 			return
 		}
+		l.asserter.Check(!l.account.Overspent(), asserter.MeasuringBudget, func(e *zerolog.Event) {
+			e.Int64("spent", l.account.Spent())
+		})
 		if loan := l.ask(ctx, pool, peer, want); loan != nil {
 			pool.Lend(loan)
 			return
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -51,7 +51,8 @@
 	return func(p *Publisher) { p.options = opts }
 }
 
-// WithObserver sets who is told of each configuration that comes into force.
+// WithObserver sets who is told of each configuration just before it comes into
+// force. It must not call the Publisher but for Current.
 func WithObserver(observe func(descriptor.Deployment)) Option {
 	return func(p *Publisher) { p.observe = observe }
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -128,14 +128,14 @@
 	probes := make(chan *limiter.Pool, probesBuffer)
 	s.account = budgeter.New(0)
 	s.publisher = publisher.New(s.self(),
-		publisher.WithObserver(func(d descriptor.Deployment) { s.account.SetRate(d.Measuring().BytesPerSecond()) }),
+		publisher.WithObserver(s.adopt),
 		publisher.WithPoolOptions(
 			limiter.WithPolicy(policyOf(s.settings.Policy())),
 			limiter.WithQueueLimit(limits.Queue()),
 			limiter.WithWants(wants),
 			limiter.WithProbes(probes)))
 	s.prober = prober.New(probes, s.account, s.settings.Listen().Source(), &s.measured)
-	s.lender = lender.New(s.self(), wants, s.publisher, s.account)
+	s.lender = lender.New(s.self(), wants, s.publisher, s.account, s.asserter)
 	s.sender = sender.New(
 		sender.WithConnectTimeout(limits.ConnectTimeout()),
 		sender.WithIdleTimeout(limits.UpstreamIdle()),
@@ -148,6 +148,15 @@
 	s.handler = listener.NewHandler(s.dispatcher, s.publisher, s.sender, s.asserter, limits)
 }
 
+// adopt is told of each configuration just before it is in force.
+func (s *Supervisor) adopt(d descriptor.Deployment) {
+	have := s.publisher.Current().Deployment().Revision()
+	s.asserter.Check(d.Revision() > have, asserter.RevisionsGrow, func(e *zerolog.Event) {
+		e.Int64("have", int64(have)).Int64("got", int64(d.Revision()))
+	})
+	s.account.SetRate(d.Measuring().BytesPerSecond())
+}
+
 // layChanges puts the filters of a change in a row. The peers' port feeds the
 // same watcher as the store, and passes the list on.
 func (s *Supervisor) layChanges() error {
