--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"burdocklane/counter"
 )
 
 const (
@@ -13,26 +15,6 @@
 	peerIdleTimeout = time.Minute
 )
 
-// countedConn adds what passes a connection to a counter.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements io.Reader.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // countedListener accepts connections that count their bytes.
 type countedListener struct {
 	net.Listener
@@ -45,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return countedConn{Conn: conn, bytes: l.bytes}, nil
+	return counter.Wrap(conn, l.bytes), nil
 }
 
 // NewClient returns a client that speaks HTTP/2, whose compressed headers keep
@@ -61,7 +43,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return countedConn{Conn: conn, bytes: bytes}, nil
+			return counter.Wrap(conn, bytes), nil
 		},
 	}
 	if security.enabled() {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"burdocklane/budgeter"
+	"burdocklane/counter"
 	"burdocklane/limiter"
 	"burdocklane/tracker"
 
@@ -65,7 +66,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return countedConn{Conn: conn, bytes: bytes}, nil
+			return counter.Wrap(conn, bytes), nil
 		},
 	}}
 	p.done.Go(func() { p.run(ctx) })
@@ -131,22 +132,3 @@
 	worker.SetRemote(r.InFlight)
 	return nil
 }
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements io.Reader.
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements io.Writer.
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
