Wait and pick the least in one place each

Cause: seven packages had the same timer-or-context wait, and three policies the same search for the least score with ties broken at random. Change: package sleeper, and picker's least.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -8,6 +8,7 @@
 
 	"burdocklane/assembler"
 	"burdocklane/descriptor"
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
@@ -139,23 +140,12 @@
 			return accepted, nil
 		}
 		// Not found says nothing yet: the write may still be on its way.
-		if !pause(ctx) {
+		if !sleeper.Sleep(ctx, settlePause) {
 			return Unknown{changeID: id, err: cause}, nil
 		}
 	}
 }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(settlePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Settle looks for a change in the history. It returns false if the change is
 // not there now.
 func (a *Applier) Settle(ctx context.Context, changeID string) (Accepted, bool, error) {
--- a/bencher/control.go
+++ b/bencher/control.go
@@ -13,6 +13,7 @@
 	"burdocklane/inspector"
 	"burdocklane/launcher"
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 
 	"github.com/go-faster/errors"
 )
@@ -140,7 +141,7 @@
 			return err
 		}
 	}
-	pause(ctx, controlSettle)
+	sleeper.Sleep(ctx, controlSettle)
 	return nil
 }
 
@@ -246,7 +247,7 @@
 }
 
 func (s *stand) idle(ctx context.Context, line *controlLine) error {
-	before, after, err := s.over(ctx, func() error { pause(ctx, controlSpan); return nil })
+	before, after, err := s.over(ctx, func() error { sleeper.Sleep(ctx, controlSpan); return nil })
 	if err != nil {
 		return err
 	}
@@ -291,7 +292,7 @@
 	if err := then(); err != nil {
 		return 0, err
 	}
-	pause(ctx, changeGap)
+	sleeper.Sleep(ctx, changeGap)
 	deadline := accepted.Add(controlDeadline)
 	for {
 		slowest, reached, err := s.slowest(ctx, accepted)
@@ -301,7 +302,7 @@
 		if time.Now().After(deadline) {
 			return 0, errors.New("the change is not in force everywhere within a minute")
 		}
-		pause(ctx, changeGap)
+		sleeper.Sleep(ctx, changeGap)
 	}
 }
 
@@ -332,7 +333,7 @@
 			if err := emulator.Register(ctx, s.launcher.Platform(), []registrar.Worker{worker}, nil); err != nil {
 				return err
 			}
-			pause(ctx, changeGap)
+			sleeper.Sleep(ctx, changeGap)
 		}
 		return nil
 	})
--- a/bencher/scenario.go
+++ b/bencher/scenario.go
@@ -9,6 +9,7 @@
 	"burdocklane/launcher"
 	"burdocklane/loader"
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 )
 
 // Scenario is a way for the workers' load to shift.
@@ -113,7 +114,7 @@
 	count := len(r.workers) / drainShare
 	for n := range count {
 		r.list(ctx, r.workers[n], true)
-		if !pause(ctx, window/time.Duration(count+1)) {
+		if !sleeper.Sleep(ctx, window/time.Duration(count+1)) {
 			break
 		}
 		r.list(ctx, r.workers[n], false)
@@ -132,7 +133,7 @@
 		})
 	}
 	set.Wait()
-	pause(ctx, window/2)
+	sleeper.Sleep(ctx, window/2)
 	for n := range len(r.workers) / share {
 		r.workers[n].SetBehaviour(context.WithoutCancel(ctx), healthy(n, r.scale)) //nolint:errcheck // The result shows it.
 	}
@@ -141,7 +142,7 @@
 // zoneLoss freezes the workers of one availability zone for the middle of the
 // window.
 func zoneLoss(ctx context.Context, r *rig, window time.Duration) {
-	pause(ctx, window/4)
+	sleeper.Sleep(ctx, window/4)
 	zone := r.workers[0].Member().Place().Zone()
 	var lost []*launcher.Worker
 	for _, w := range r.workers {
@@ -150,7 +151,7 @@
 			lost = append(lost, w)
 		}
 	}
-	pause(ctx, window/2)
+	sleeper.Sleep(ctx, window/2)
 	for _, w := range lost {
 		w.Thaw()
 	}
@@ -164,14 +165,3 @@
 		emulator.Register(context.WithoutCancel(ctx), platform, []registrar.Worker{listed}, nil) //nolint:errcheck // The result shows it.
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/bencher/soak_checks.go
+++ b/bencher/soak_checks.go
@@ -11,11 +11,12 @@
 	"burdocklane/emulator"
 	"burdocklane/inspector"
 	"burdocklane/loader"
+	"burdocklane/sleeper"
 )
 
 // watch reads each instance's revision, which must never go back.
 func (r *soakRun) watch(ctx context.Context) {
-	for pause(ctx, watchEvery) {
+	for sleeper.Sleep(ctx, watchEvery) {
 		r.mutex.Lock()
 		instances := append([]*soakInstance(nil), r.instances...)
 		r.mutex.Unlock()
@@ -50,7 +51,7 @@
 				r.violate("revision %d is not in force on %s after %s", r.accepted, i.Name(), inForceTarget)
 				break
 			}
-			pause(ctx, watchEvery)
+			sleeper.Sleep(ctx, watchEvery)
 		}
 	}
 	for _, i := range r.instances {
--- a/bencher/soak_faults.go
+++ b/bencher/soak_faults.go
@@ -12,6 +12,7 @@
 	"burdocklane/emulator"
 	"burdocklane/launcher"
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 )
 
@@ -52,7 +53,7 @@
 			r.play(ctx, second, length/2)
 		}
 		r.play(ctx, f, length)
-		if !pause(ctx, time.Duration(r.rng.Int64N(int64(faultGap)))) {
+		if !sleeper.Sleep(ctx, time.Duration(r.rng.Int64N(int64(faultGap)))) {
 			return
 		}
 	}
@@ -95,7 +96,7 @@
 func killWorker(ctx context.Context, r *soakRun, length time.Duration) error {
 	n, w := r.anyWorker()
 	w.Kill()
-	pause(ctx, length)
+	sleeper.Sleep(ctx, length)
 	return r.restartWorker(n, w)
 }
 
@@ -116,7 +117,7 @@
 func freezeWorker(ctx context.Context, r *soakRun, length time.Duration) error {
 	_, w := r.anyWorker()
 	w.Freeze()
-	pause(ctx, length)
+	sleeper.Sleep(ctx, length)
 	w.Thaw()
 	return nil
 }
@@ -129,7 +130,7 @@
 	if err := emulator.Register(ctx, r.launcher.Platform(), []registrar.Worker{leaving}, nil); err != nil {
 		return err
 	}
-	pause(ctx, length)
+	sleeper.Sleep(ctx, length)
 	if err := w.Stop(); err != nil {
 		return err
 	}
@@ -142,7 +143,7 @@
 		if err := w.SetBehaviour(ctx, emulator.NewBehaviour(options...)); err != nil {
 			return err
 		}
-		pause(ctx, length)
+		sleeper.Sleep(ctx, length)
 		return w.SetBehaviour(context.WithoutCancel(ctx), emulator.NewBehaviour())
 	}
 }
@@ -151,7 +152,7 @@
 	i := r.takeInstance(true)
 	r.setDisturbed(i)
 	i.Kill()
-	pause(ctx, length)
+	sleeper.Sleep(ctx, length)
 	return r.addInstance(ctx)
 }
 
@@ -165,7 +166,7 @@
 	i := r.takeInstance(false)
 	r.setDisturbed(i)
 	i.Freeze()
-	pause(ctx, length)
+	sleeper.Sleep(ctx, length)
 	i.Thaw()
 	return nil
 }
@@ -191,7 +192,7 @@
 		if err := set(ctx, text); err != nil {
 			return err
 		}
-		pause(ctx, length)
+		sleeper.Sleep(ctx, length)
 		return set(context.WithoutCancel(ctx), `{}`)
 	}
 }
--- a/commander/wait.go
+++ b/commander/wait.go
@@ -10,6 +10,7 @@
 	"burdocklane/inspector"
 	"burdocklane/lister"
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 
 	"github.com/go-faster/errors"
 	"github.com/spf13/cobra"
@@ -50,16 +51,13 @@
 		if err == nil && allInForce(ctx, fleet, revision) {
 			return printForce(ctx, cmd, fleet, revision)
 		}
-		timer := time.NewTimer(waitPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			if err != nil {
-				return errors.Wrap(err, "platform's list")
-			}
-			return printForce(context.WithoutCancel(ctx), cmd, fleet, revision)
+		if sleeper.Sleep(ctx, waitPause) {
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "platform's list")
 		}
+		return printForce(context.WithoutCancel(ctx), cmd, fleet, revision)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"burdocklane/recorder"
 	"burdocklane/registrar"
 	"burdocklane/retrier"
+	"burdocklane/sleeper"
 
 	"github.com/rs/zerolog"
 )
@@ -114,7 +115,7 @@
 			return r.settle(last, s.Outcome())
 		case retrier.Again:
 			r.abandon(last)
-			if !sleep(r.ctx, s.Delay()) {
+			if !sleeper.Sleep(r.ctx, s.Delay()) {
 				return r.gaveUp("cancelled")
 			}
 		}
@@ -273,21 +274,6 @@
 		recorder.WithTimes(waited, took)))
 }
 
-// sleep waits for d or until the call is cancelled, and returns false then.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // serviceLabel returns the labels of a class in metrics.
 func serviceLabel(s descriptor.ServiceName, c descriptor.ClassName) string {
 	return `service="` + string(s) + `",class="` + string(c) + `"`
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
@@ -225,7 +226,7 @@
 	w.mutex.Lock()
 	slow := w.noise.slow.Load()
 	w.mutex.Unlock()
-	if !work(r.Context(), b.serviceTime(slow, time.Since(w.started))) {
+	if !sleeper.Sleep(r.Context(), b.serviceTime(slow, time.Since(w.started))) {
 		panic(http.ErrAbortHandler)
 	}
 	if rand.Float64() < b.cutShare {
@@ -234,21 +235,6 @@
 	return sum.Sum32()
 }
 
-// work takes the time, and returns false if the call is cancelled meanwhile.
-func work(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, sum uint32) {
 	size, err := strconv.Atoi(r.URL.Query().Get("bytes"))
 	if err != nil || size < 0 || size > mostAnswer {
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
@@ -90,12 +91,7 @@
 			continue
 		}
 		l.log.Warn().Err(err).Msg("platform's list is not reachable; the last one stays in force")
-		timer := time.NewTimer(retryPause + rand.N(retryPause))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-		}
+		sleeper.Sleep(ctx, retryPause+rand.N(retryPause))
 	}
 }
 
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -111,30 +111,45 @@
 	return first
 }
 
-// pickLeast takes the usable candidate with the least score and breaks ties
-// at random.
+// least is the candidate with the least score so far. Ties are broken at
+// random, each with the same chance.
+type least struct {
+	index int
+	score int64
+	ties  int
+}
+
+func newLeast() least { return least{index: -1} }
+
+func (l *least) offer(index int, score int64, rng *rand.Rand) {
+	switch {
+	case l.index < 0 || score < l.score:
+		l.index, l.score, l.ties = index, score, 1
+	case score == l.score:
+		l.ties++
+		if rng.IntN(l.ties) == 0 {
+			l.index = index
+		}
+	}
+}
+
+// or returns the candidate, or the other decision if there was none.
+func (l *least) or(none Decision) Decision {
+	if l.index < 0 {
+		return none
+	}
+	return Send{index: int32(l.index)}
+}
+
+// pickLeast takes the usable candidate with the least score.
 func pickLeast(candidates []Candidate, rng *rand.Rand, score func(*Candidate) int64) Decision {
-	best, bestScore, ties := -1, int64(0), 0
+	best := newLeast()
 	for i := range candidates {
-		c := &candidates[i]
-		if !routable(c.state) {
-			continue
+		if c := &candidates[i]; routable(c.state) {
+			best.offer(i, score(c), rng)
 		}
-		s := score(c)
-		switch {
-		case best < 0 || s < bestScore:
-			best, bestScore, ties = i, s, 1
-		case s == bestScore:
-			ties++
-			if rng.IntN(ties) == 0 {
-				best = i
-			}
-		}
-	}
-	if best < 0 {
-		return Refuse{}
 	}
-	return Send{index: int32(best)}
+	return best.or(Refuse{})
 }
 
 const (
@@ -178,32 +193,19 @@
 // pickFree never leaves a free slot idle while a call waits: suspicion and
 // slowness only order the free slots.
 func pickFree(candidates []Candidate, rng *rand.Rand) Decision {
-	best, bestScore, ties, usable := -1, int64(0), 0, false
+	best, usable := newLeast(), false
 	for i := range candidates {
 		c := &candidates[i]
 		if !routable(c.state) {
 			continue
 		}
 		usable = true
-		if c.inFlight >= c.limit {
-			continue
-		}
-		s := byExpectedLatency(c)
-		switch {
-		case best < 0 || s < bestScore:
-			best, bestScore, ties = i, s, 1
-		case s == bestScore:
-			ties++
-			if rng.IntN(ties) == 0 {
-				best = i
-			}
+		if c.inFlight < c.limit {
+			best.offer(i, byExpectedLatency(c), rng)
 		}
 	}
-	switch {
-	case best >= 0:
-		return Send{index: int32(best)}
-	case usable:
-		return Wait{}
+	if usable {
+		return best.or(Wait{})
 	}
 	return Refuse{}
 }
@@ -221,27 +223,15 @@
 }
 
 func pickOverflow(candidates []Candidate, far bool, rng *rand.Rand) Decision {
-	best, bestScore, ties := -1, int64(0), 0
+	best := newLeast()
 	for i := range candidates {
 		c := &candidates[i]
 		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!far && c.distance >= farDistance) {
 			continue
 		}
-		s := byQueue(c)
-		switch {
-		case best < 0 || s < bestScore:
-			best, bestScore, ties = i, s, 1
-		case s == bestScore:
-			ties++
-			if rng.IntN(ties) == 0 {
-				best = i
-			}
-		}
-	}
-	if best < 0 {
-		return Wait{}
+		best.offer(i, byQueue(c), rng)
 	}
-	return Send{index: int32(best)}
+	return best.or(Wait{})
 }
 
 // byQueue expects a call to wait for its turn when the slots are taken.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"burdocklane/assembler"
 	"burdocklane/descriptor"
 	"burdocklane/publisher"
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
@@ -78,7 +79,7 @@
 			failures++
 			w.log.Warn().Err(err).Int("failures", failures).Msg("store is not reachable")
 		}
-		wait(ctx, backoff(failures))
+		sleeper.Sleep(ctx, backoff(failures))
 	}
 }
 
@@ -162,12 +163,3 @@
 	most := min(backoffBase<<min(failures, 10), backoffMost)
 	return most/2 + rand.N(most/2)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
