Call a refusal after a lost attempt unknown, not a refusal

Change: a declined attempt ends the call as passed only if no earlier attempt may have run, and as unknown otherwise. Conclusion: the promise holds for retried calls too.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -94,6 +94,7 @@
 		{"unsent to the end", descriptor.AtMostOnce{}, []retrier.Result{unsent, unsent, unsent, good}, "not-run", 3},
 		{"idempotent and lost", descriptor.Idempotent{}, []retrier.Result{lost, good}, "done", 2},
 		{"idempotent and lost to the end", descriptor.Idempotent{}, []retrier.Result{lost, lost, lost, good}, "unknown", 3},
+		{"a refusal after a loss is not the whole truth", descriptor.Idempotent{}, []retrier.Result{lost, declined, declined}, "unknown", 3},
 		{"the worker's refusal is passed on", descriptor.Idempotent{}, []retrier.Result{declined, declined, declined}, "done", 3},
 	}
 	for _, test := range tests {
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -152,8 +152,12 @@
 
 func settle(h History, latest Result) Step {
 	switch latest.(type) {
-	case Answered, Declined:
+	case Answered:
 		return Settle{outcome: Passed{}}
+	case Declined: // A refusal would hide that an earlier attempt may have run.
+		if !h.MaybeRan() {
+			return Settle{outcome: Passed{}}
+		}
 	case Unsent, Lost:
 	}
 	if h.MaybeRan() {
