Drop dead code and a copy made for each call

Cause: a last read of the whole change. The classifier copied a class's methods on each call only to learn whether there are any; a refusal reason, an outcome's constructor and a control of the stand-in were never used; a function only renamed parser.Service; the limit by usual load had a case that cannot matter. Change: Class.AnyMethod; the dead pieces are gone. The saving for each call was not measured. Conclusion: behaviour is as it was.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"burdocklane/descriptor"
+	"burdocklane/parser"
 	"burdocklane/storer"
 )
 
@@ -98,7 +99,7 @@
 	if known, ok := a.services[name]; ok && known.revision == pair.Revision() {
 		return known.service, nil
 	}
-	service, err := parseService(key, name, pair.Value())
+	service, err := parser.Service(key, name, pair.Value())
 	if err != nil {
 		return descriptor.Service{}, err
 	}
--- a/assembler/header.go
+++ b/assembler/header.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"burdocklane/descriptor"
-	"burdocklane/parser"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -112,7 +111,3 @@
 	return descriptor.NewDeployment(h.message.Deployment, measuring, services).
 		WithRevision(h.Revision(), h.Change())
 }
-
-func parseService(key string, name descriptor.ServiceName, value []byte) (descriptor.Service, error) {
-	return parser.Service(key, name, value)
-}
--- a/classifier/index.go
+++ b/classifier/index.go
@@ -71,7 +71,7 @@
 		if _, ok := e.class.MatchLength(h.method, h.path); !ok {
 			continue
 		}
-		if len(e.class.Methods()) > 0 {
+		if !e.class.AnyMethod() {
 			return e, true
 		}
 		anyMethod = e
--- a/descriptor/class.go
+++ b/descriptor/class.go
@@ -55,6 +55,9 @@
 // Methods returns a copy of the HTTP methods; empty means every method.
 func (c Class) Methods() []string { return slices.Clone(c.methods) }
 
+// AnyMethod tells whether the class takes every HTTP method.
+func (c Class) AnyMethod() bool { return len(c.methods) == 0 }
+
 // Paths returns a copy of the path prefixes.
 func (c Class) Paths() []string { return slices.Clone(c.paths) }
 
--- a/emulator/register.go
+++ b/emulator/register.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
 
 	"burdocklane/lister"
 	"burdocklane/registrar"
@@ -57,11 +56,6 @@
 	return Control(ctx, http.MethodPut, base+"/list", data)
 }
 
-// Unregister takes a worker off the list of a stand-in platform.
-func Unregister(ctx context.Context, base string, worker registrar.WorkerID) error {
-	return Control(ctx, http.MethodDelete, base+"/list/workers/"+url.PathEscape(string(worker)), nil)
-}
-
 // Control sends a command to a control URL of a stand-in.
 func Control(ctx context.Context, method, target string, body []byte) error {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -15,12 +15,11 @@
 
 // Reasons of a Refused admission.
 const (
-	ReasonNoWorker   Reason = "no-worker"
-	ReasonQueueFull  Reason = "queue-full"
-	ReasonOverload   Reason = "overload"
-	ReasonDeadline   Reason = "deadline"
-	ReasonCancelled  Reason = "cancelled"
-	ReasonNotGranted Reason = "not-granted"
+	ReasonNoWorker  Reason = "no-worker"
+	ReasonQueueFull Reason = "queue-full"
+	ReasonOverload  Reason = "overload"
+	ReasonDeadline  Reason = "deadline"
+	ReasonCancelled Reason = "cancelled"
 )
 
 // Ask is one request for a slot.
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -244,7 +244,7 @@
 	for d := range means {
 		means[d] = p.meanAt(d)
 	}
-	most := p.fairLimit(len(workers))
+	most := p.fairLimit()
 	*seen = Seen{total: int32(len(workers)), queued: p.waiting.Load()}
 	ejected := 0
 	for _, w := range workers {
@@ -265,10 +265,7 @@
 
 // fairLimit bounds the calls at one worker by the even part of the usual load
 // and some headroom.
-func (p *Pool) fairLimit(workers int) int32 {
-	if workers == 0 {
-		return 0
-	}
+func (p *Pool) fairLimit() int32 {
 	holding := max(p.roster.Load().holding, 1)
 	return max(int32(math.Ceil(headroom*float64(p.usual.Load())/1000/float64(holding))), 1)
 }
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -66,9 +66,6 @@
 // Reason says how the answer was lost.
 func (u Unknown) Reason() string { return u.reason }
 
-// NewNotRun returns the outcome of a call that no worker ran.
-func NewNotRun(reason string) NotRun { return NotRun{reason: reason} }
-
 // OutcomeText returns the word for o in logs and answers.
 func OutcomeText(o Outcome) string {
 	switch o.(type) {
