--- a/asserter/asserter.go
+++ b/asserter/asserter.go
@@ -51,6 +51,9 @@
 	return a
 }
 
+// Log returns the log that violations are written to.
+func (a *Asserter) Log() *zerolog.Logger { return &a.log }
+
 // Check counts a violation of the invariant unless it holds. The evidence is
 // made only then, and may be nil.
 func (a *Asserter) Check(holds bool, invariant Invariant, evidence func(*zerolog.Event)) {
--- a/budgeter/share.go
+++ b/budgeter/share.go
@@ -15,6 +15,8 @@
 // safe for concurrent use.
 type Share struct {
 	perCall int64
+	start   int64
+	most    atomic.Int64
 	tokens  atomic.Int64
 	calls   atomic.Int64
 	spent   atomic.Int64
@@ -23,16 +25,32 @@
 // NewShare returns a budget of the given share of calls, 0 to 1, with a few
 // extra attempts in it.
 func NewShare(share float64) *Share {
-	b := &Share{perCall: int64(share * milli)}
+	b := &Share{perCall: int64(share * milli), start: shareAtStart}
+	b.most.Store(shareMost)
 	b.tokens.Store(shareAtStart)
 	return b
 }
 
+// NewEmptyShare returns a budget of the given share of calls without any extra
+// attempts in it, in which none but one is saved up until SetMost allows more.
+func NewEmptyShare(share float64) *Share {
+	b := &Share{perCall: int64(share * milli)}
+	b.most.Store(milli)
+	return b
+}
+
+// SetMost bounds the extra attempts that can be saved up, at least one.
+func (b *Share) SetMost(attempts float64) { b.most.Store(max(int64(attempts*milli), milli)) }
+
 // Deposit adds what one call earns.
 func (b *Share) Deposit() {
 	b.calls.Add(1)
-	if b.tokens.Load() < shareMost {
-		b.tokens.Add(b.perCall)
+	for {
+		have := b.tokens.Load()
+		next := min(have+b.perCall, b.most.Load())
+		if next <= have || b.tokens.CompareAndSwap(have, next) {
+			return
+		}
 	}
 }
 
@@ -59,5 +77,5 @@
 // Overspent tells whether more was allowed than the calls have earned.
 func (b *Share) Overspent() bool {
 	spent := b.Spent() * milli
-	return spent > shareAtStart+b.Calls()*b.perCall
+	return spent > b.start+b.Calls()*b.perCall
 }
--- a/classifier/head.go
+++ b/classifier/head.go
@@ -14,6 +14,7 @@
 	id             string
 	method         string
 	path           string
+	host           string
 	caller         string
 	idempotencyKey string
 	timeout        time.Duration
@@ -25,6 +26,9 @@
 // WithCaller names who sent the request, for fairness between callers.
 func WithCaller(caller string) HeadOption { return func(h *Head) { h.caller = caller } }
 
+// WithHost sets the host that the request names.
+func WithHost(host string) HeadOption { return func(h *Head) { h.host = host } }
+
 // WithIdempotencyKey sets the key under which the caller repeats a request.
 func WithIdempotencyKey(key string) HeadOption {
 	return func(h *Head) { h.idempotencyKey = key }
--- a/classifier/index.go
+++ b/classifier/index.go
@@ -1,7 +1,9 @@
 package classifier
 
 import (
+	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"burdocklane/descriptor"
@@ -22,42 +24,132 @@
 // Call returns the call.
 func (m Matched) Call() Call { return m.call }
 
+// entry is a class with the services that take its calls.
 type entry struct {
-	service *descriptor.Service
-	class   *descriptor.Class
+	class *descriptor.Class
+	split *split
 }
 
-// Index finds the class of a request by the longest path prefix. It is
-// immutable; its look-up takes time in proportion to the length of the path.
+// split deals calls out to services in proportion to their weights.
+type split struct {
+	services []*descriptor.Service
+	until    []float64 // The end of each service's part of 0 to 1.
+	turn     atomic.Uint64
+}
+
+// goldenRatio spreads the turns evenly over 0 to 1, whatever the weights: each
+// part gets its share within a few calls of any run of turns.
+const goldenRatio = 0.6180339887498949
+
+func (s *split) next() *descriptor.Service {
+	if len(s.services) == 1 {
+		return s.services[0]
+	}
+	at := float64(s.turn.Add(1)) * goldenRatio
+	at -= float64(uint64(at))
+	for i, until := range s.until {
+		if at < until {
+			return s.services[i]
+		}
+	}
+	return s.services[len(s.services)-1]
+}
+
+// Index finds the class of a request by its host and the longest path prefix.
+// Its tables are immutable; a look-up takes time in proportion to the length
+// of the path.
 type Index struct {
-	entries map[string][]entry
+	hosts map[string]map[string][]entry // By host, "" for any, and by path.
 }
 
-// NewIndex returns an index of the classes of all services.
+// NewIndex returns an index of the classes of all services and of the routes.
+// A route that names a service unknown to the deployment is left out.
 func NewIndex(d descriptor.Deployment) *Index {
-	x := &Index{entries: map[string][]entry{}}
+	x := &Index{hosts: map[string]map[string][]entry{}}
+	services := make(map[descriptor.ServiceName]*descriptor.Service, len(d.Services()))
 	for i := range d.Services() {
 		service := &d.Services()[i]
+		services[service.Name()] = service
 		for j := range service.Classes() {
-			class := &service.Classes()[j]
-			for _, path := range class.Paths() {
-				key := strings.TrimSuffix(path, "/")
-				x.entries[key] = append(x.entries[key], entry{service: service, class: class})
-			}
+			x.add("", &service.Classes()[j], &split{services: []*descriptor.Service{service}})
+		}
+	}
+	for _, route := range d.Routes() {
+		class := route.Class()
+		if s := newSplit(route.Parts(), services); s != nil {
+			x.add(strings.ToLower(route.Host()), &class, s)
 		}
 	}
 	return x
 }
 
-// Classify returns the call that the request stands for, or Unmatched.
+func newSplit(parts []descriptor.Part, services map[descriptor.ServiceName]*descriptor.Service) *split {
+	total := 0
+	for _, part := range parts {
+		total += part.Weight()
+	}
+	s := &split{}
+	sum := 0
+	for _, part := range parts {
+		service := services[part.Service()]
+		if service == nil {
+			return nil
+		}
+		if part.Weight() <= 0 {
+			continue
+		}
+		sum += part.Weight()
+		s.services = append(s.services, service)
+		s.until = append(s.until, float64(sum)/float64(total))
+	}
+	if len(s.services) == 0 {
+		return nil
+	}
+	return s
+}
+
+func (x *Index) add(host string, class *descriptor.Class, s *split) {
+	paths := x.hosts[host]
+	if paths == nil {
+		paths = map[string][]entry{}
+		x.hosts[host] = paths
+	}
+	for _, path := range class.Paths() {
+		key := strings.TrimSuffix(path, "/")
+		paths[key] = append(paths[key], entry{class: class, split: s})
+	}
+}
+
+// Classify returns the call that the request stands for, or Unmatched. Routes
+// of the request's host go before classes that take every host.
 func (x *Index) Classify(h Head, now time.Time) Result {
+	for _, host := range [...]string{hostName(h.host), ""} {
+		if e, ok := find(x.hosts[host], h); ok {
+			return Matched{call: newCall(h, e, now)}
+		}
+	}
+	return Unmatched{}
+}
+
+// hostName returns the host in lower case and without a port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+func find(paths map[string][]entry, h Head) (entry, bool) {
+	if len(paths) == 0 {
+		return entry{}, false
+	}
 	path := strings.TrimSuffix(h.path, "/")
 	for {
-		if e, ok := x.match(h, path); ok {
-			return Matched{call: newCall(h, e, now)}
+		if e, ok := match(paths[path], h); ok {
+			return e, true
 		}
 		if path == "" {
-			return Unmatched{}
+			return entry{}, false
 		}
 		path = path[:strings.LastIndexByte(path, '/')+1]
 		path = strings.TrimSuffix(path, "/")
@@ -65,9 +157,9 @@
 }
 
 // match prefers a class that names the method to one that takes any.
-func (x *Index) match(h Head, prefix string) (entry, bool) {
+func match(entries []entry, h Head) (entry, bool) {
 	var anyMethod entry
-	for _, e := range x.entries[prefix] {
+	for _, e := range entries {
 		if _, ok := e.class.MatchLength(h.method, h.path); !ok {
 			continue
 		}
@@ -84,7 +176,7 @@
 	if h.timeout > 0 && h.timeout < timeout {
 		timeout = h.timeout
 	}
-	call := NewCall(h.id, e.service, e.class, now, now.Add(timeout))
+	call := NewCall(h.id, e.split.next(), e.class, now, now.Add(timeout))
 	call.caller = h.caller
 	call.idempotencyKey = h.idempotencyKey
 	return call
--- /dev/null
+++ b/cmd/burdocklane-instance/main.go
@@ -0,0 +1,13 @@
+// Command burdocklane-instance runs one instance on the users' platform. It is
+// a program of its own so that a small machine does not carry the tools.
+package main
+
+import (
+	"os"
+
+	"burdocklane/runner"
+)
+
+func main() {
+	os.Exit(runner.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/descriptor/class.go
+++ b/descriptor/class.go
@@ -15,6 +15,9 @@
 	repeat   Repeat
 	target   Target
 	deadline time.Duration
+	attempts int
+	priority int
+	resends  bool
 }
 
 // ClassOption sets one property of a Class.
@@ -40,6 +43,18 @@
 // caller asks for less.
 func WithDeadline(d time.Duration) ClassOption { return func(c *Class) { c.deadline = d } }
 
+// WithAttempts bounds the workers that one call may be sent to; 0 leaves it to
+// the instance.
+func WithAttempts(most int) ClassOption { return func(c *Class) { c.attempts = most } }
+
+// WithServerErrorRetries lets an idempotent call that a worker failed with an
+// error of its own be sent to another.
+func WithServerErrorRetries() ClassOption { return func(c *Class) { c.resends = true } }
+
+// WithPriority ranks the class among the others of its service; 0 is the most
+// urgent.
+func WithPriority(rank int) ClassOption { return func(c *Class) { c.priority = rank } }
+
 // NewClass returns a class with the given options.
 func NewClass(name ClassName, opts ...ClassOption) Class {
 	c := Class{name: name, repeat: AtMostOnce{}}
@@ -70,6 +85,18 @@
 // Deadline returns the longest time that a call may take.
 func (c Class) Deadline() time.Duration { return c.deadline }
 
+// Attempts bounds the workers that one call may be sent to; 0 means that the
+// class sets no bound.
+func (c Class) Attempts() int { return c.attempts }
+
+// RetriesServerErrors tells whether an idempotent call that a worker failed with
+// an error of its own is sent to another.
+func (c Class) RetriesServerErrors() bool { return c.resends }
+
+// Priority ranks the class among the others of its service; 0 is the most
+// urgent.
+func (c Class) Priority() int { return c.priority }
+
 // MatchLength returns the length of the longest path prefix that matches the
 // request, and false if the method or the path does not match. A prefix
 // matches whole path segments only.
--- a/descriptor/deployment.go
+++ b/descriptor/deployment.go
@@ -10,6 +10,7 @@
 	name    ServiceName
 	classes []Class
 	notRun  []int
+	health  string
 }
 
 // NewService returns a service. A worker that answers with one of the notRun
@@ -18,6 +19,16 @@
 	return Service{name: name, classes: slices.Clone(classes), notRun: slices.Clone(notRun)}
 }
 
+// WithHealthPath returns a copy of s whose workers answer status checks on the
+// path.
+func (s Service) WithHealthPath(path string) Service {
+	s.health = path
+	return s
+}
+
+// HealthPath returns the path of status checks, or "" if there are none.
+func (s Service) HealthPath() string { return s.health }
+
 // Name returns the name of the service.
 func (s Service) Name() ServiceName { return s.name }
 
@@ -58,6 +69,8 @@
 	name      string
 	measuring Measuring
 	services  []Service
+	routes    []Route
+	bounds    Bounds
 	revision  Revision
 	change    Change
 }
@@ -73,6 +86,24 @@
 	return d
 }
 
+// WithRoutes returns a copy of d with routes beside the services' own classes.
+func (d Deployment) WithRoutes(routes []Route) Deployment {
+	d.routes = slices.Clone(routes)
+	return d
+}
+
+// WithBounds returns a copy of d with bounds for callers' requests.
+func (d Deployment) WithBounds(b Bounds) Deployment {
+	d.bounds = b
+	return d
+}
+
+// Routes returns the routes. The caller must not change the slice.
+func (d Deployment) Routes() []Route { return d.routes }
+
+// Bounds returns the bounds of callers' requests.
+func (d Deployment) Bounds() Bounds { return d.bounds }
+
 // Name returns the name of the deployment.
 func (d Deployment) Name() string { return d.name }
 
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -1,11 +1,13 @@
 package dispatcher
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"burdocklane/limiter"
 	"burdocklane/retrier"
+	"burdocklane/sleeper"
 )
 
 // hedge is a second attempt that starts beside a late first one.
@@ -13,6 +15,8 @@
 	mutex    sync.Mutex // Guards closed and attempt.
 	closed   bool
 	attempt  *attempt
+	over     context.Context // Ends when the first attempt has.
+	end      context.CancelFunc
 	finished chan struct{}
 }
 
@@ -22,29 +26,74 @@
 // call's own goroutine: most calls are never hedged.
 func (r *run) race(granted limiter.Granted) *attempt {
 	first := r.start(granted, r.reason(granted))
-	delay, ok := retrier.HedgeDelay(r.call, r.replayable, r.lane.Pool().Mean())
-	if !ok || !r.d.hedging || r.numbered >= retrier.MostAttempts {
+	delay, ok := r.hedgeDelay(first)
+	if !ok {
 		r.send(first)
 		r.learn(first)
 		return first
 	}
 	h := &hedge{finished: make(chan struct{})}
+	h.over, h.end = context.WithCancel(r.ctx)
 	r.d.running.Add(1)
 	timer := time.AfterFunc(delay, func() { r.runHedge(h, first) })
 	r.send(first)
 	if timer.Stop() {
 		r.d.running.Done()
+		h.end()
 		r.learn(first)
 		return first
 	}
 	return r.choose(h, first)
 }
 
+// hedgeDelay returns when to look whether a second attempt is due, and false if
+// there must not be any.
+func (r *run) hedgeDelay(first *attempt) (time.Duration, bool) {
+	if !r.d.hedging || !retrier.MayHedge(r.call, r.replayable, r.numbered) {
+		return 0, false
+	}
+	switch s := r.hedgeStep(first).(type) {
+	case retrier.Later:
+		return s.Delay(), true
+	case retrier.Hedge:
+		return 0, r.lane.Pool().Mean() > 0
+	}
+	return 0, false
+}
+
+func (r *run) hedgeStep(first *attempt) retrier.HedgeStep {
+	outlook := retrier.NewOutlook(r.lane.Pool().Outlook(first.granted.Worker(), r.call.Class().Target().Latency()))
+	return retrier.HedgeAfter(outlook, time.Since(first.start))
+}
+
+// awaitHedge waits until a second attempt is due and has been granted a slot.
+// It returns false if the first has ended before.
+func (r *run) awaitHedge(h *hedge, first *attempt) bool {
+	step := r.hedgeStep(first)
+	for {
+		switch s := step.(type) {
+		case retrier.Hedge:
+			if r.beginHedge(h) {
+				return true
+			}
+			if _, _, known := r.lane.Pool().Outlook(first.granted.Worker(), 0); !known {
+				return false
+			}
+			step = retrier.LookAgain()
+		case retrier.Later:
+			if !sleeper.Sleep(h.over, s.Delay()) {
+				return false
+			}
+			step = r.hedgeStep(first)
+		}
+	}
+}
+
 // runHedge makes the second attempt. If it is answered, the first is cancelled.
 func (r *run) runHedge(h *hedge, first *attempt) {
 	defer r.d.running.Done()
 	defer close(h.finished)
-	if !r.beginHedge(h) {
+	if !r.awaitHedge(h, first) {
 		return
 	}
 	r.send(h.attempt)
@@ -61,7 +110,7 @@
 	if h.closed {
 		return false
 	}
-	granted, ok := r.lane.Pool().TryAcquire(r.ask())
+	granted, ok := r.lane.Pool().TryAcquire(r.hedgeAsk())
 	if !ok {
 		return false
 	}
@@ -74,11 +123,22 @@
 	return true
 }
 
+// hedgeAsk asks for a worker that can still meet the target, as long as it can
+// be met at all.
+func (r *run) hedgeAsk() limiter.Ask {
+	ask := r.ask()
+	if left := r.call.Class().Target().Latency() - time.Since(r.call.Arrival()); left > 0 {
+		ask = ask.Within(left)
+	}
+	return ask
+}
+
 // choose returns the first attempt if it was answered or was the only one, and
 // else the hedged one if that was.
 func (r *run) choose(h *hedge, first *attempt) *attempt {
 	h.mutex.Lock()
 	h.closed = true
+	h.end()
 	second := h.attempt
 	h.mutex.Unlock()
 	switch {
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,155 @@
+// Package follower keeps a copy of a store's keys up to date: it reads them,
+// watches them from there on, and starts again when the watch breaks.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/sleeper"
+	"burdocklane/storer"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	backoffBase = 50 * time.Millisecond
+	backoffMost = time.Second
+	// outageLeast is how long the store has to be out of reach for missing keys
+	// to be given time to come back.
+	outageLeast = 500 * time.Millisecond
+	// returnGrace is how long after an outage a missing key may come back: its
+	// writer may have been unable to renew its lease meanwhile.
+	returnGrace = 2 * time.Second
+)
+
+// Follower follows the keys with a prefix.
+type Follower struct {
+	store   storer.Store
+	prefix  string
+	receive func([]storer.Pair)
+	log     zerolog.Logger
+	contact atomic.Int64
+
+	// The run goroutine alone uses what follows.
+	copied *Copy
+	lostAt time.Time
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New starts a Follower that hands all keys over whenever any has changed.
+func New(store storer.Store, prefix string, receive func([]storer.Pair), log zerolog.Logger) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{store: store, prefix: prefix, receive: receive, log: log, copied: NewCopy(), cancel: cancel}
+	f.done.Go(func() { f.run(ctx) })
+	return f
+}
+
+// Close ends the watch and waits for it.
+func (f *Follower) Close() {
+	f.cancel()
+	f.done.Wait()
+}
+
+// Contact returns when the store last answered, or the zero time.
+func (f *Follower) Contact() time.Time {
+	at := f.contact.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
+func (f *Follower) run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		contact := f.contact.Load()
+		err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if f.contact.Load() != contact {
+			failures = 0
+		}
+		if err == nil || f.again(err) {
+			continue
+		}
+		failures++
+		sleeper.Sleep(ctx, backoff(failures))
+	}
+}
+
+// again notes why a watch ended, and tells whether to read at once: a history
+// that was dropped is no outage.
+func (f *Follower) again(err error) bool {
+	var compacted *storer.CompactedError
+	switch {
+	case errors.As(err, &compacted):
+		f.log.Info().Err(err).Msg("store dropped its history; reading the keys again")
+		return true
+	case f.lostAt.IsZero():
+		f.lostAt = time.Now()
+		f.log.Warn().Err(err).Msg("lost the store")
+	default:
+		f.log.Debug().Err(err).Msg("store is not reachable")
+	}
+	return false
+}
+
+// follow reads the keys and watches them until the watch breaks. It returns nil
+// when the time of missing keys is up and the keys are to be read again.
+func (f *Follower) follow(ctx context.Context) error {
+	page, err := storer.Range(ctx, f.store, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.regained()
+	f.copied.Replace(page.Pairs())
+	f.show()
+	watch := ctx
+	if due, ok := f.copied.Due(); ok {
+		var cancel context.CancelFunc
+		watch, cancel = context.WithDeadline(ctx, due)
+		defer cancel()
+	}
+	err = storer.Watch(watch, f.store, f.prefix, page.Revision()+1, f.take)
+	if f.copied.Expire(time.Now()) {
+		return nil
+	}
+	return err
+}
+
+// regained notes that the store answers. After an outage, keys that are missing
+// get time to come back.
+func (f *Follower) regained() {
+	f.contact.Store(time.Now().UnixNano())
+	if f.lostAt.IsZero() {
+		return
+	}
+	outage := time.Since(f.lostAt)
+	f.lostAt = time.Time{}
+	f.log.Info().Dur("outage", outage).Msg("regained the store")
+	if outage >= outageLeast {
+		f.copied.Forgive(time.Now().Add(returnGrace))
+	}
+}
+
+func (f *Follower) take(b storer.Batch) {
+	f.contact.Store(time.Now().UnixNano())
+	if f.copied.Apply(b.Events()) {
+		f.show()
+	}
+}
+
+func (f *Follower) show() { f.receive(f.copied.Pairs()) }
+
+func backoff(failures int) time.Duration {
+	most := min(backoffBase<<min(failures, 10), backoffMost)
+	return most/2 + rand.N(most/2)
+}
--- /dev/null
+++ b/informer/informer.go
@@ -0,0 +1,290 @@
+// Package informer keeps what is known of the workers' load fresh. The
+// instances of a region divide the status checks of its workers among
+// themselves, and tell each other by datagrams what they have learnt.
+package informer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/checker"
+	"burdocklane/limiter"
+	"burdocklane/publisher"
+	"burdocklane/registrar"
+	"burdocklane/tracker"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// period is how often a worker's load is to be learnt anew.
+	period = 50 * time.Millisecond
+	// freshAge is the age up to which a report needs no check yet.
+	freshAge = period * 4 / 5
+	// peerSilence is how long a peer may be silent before its workers are
+	// checked by others.
+	peerSilence   = 6 * period
+	mostDatagram  = 8 << 10
+	regionalSteps = 1 // Of registrar.Place.Distance.
+)
+
+var (
+	sentTotal     = metrics.NewCounter("burdocklane_datagrams_sent_total")
+	receivedTotal = metrics.NewCounter("burdocklane_datagrams_received_total")
+)
+
+// Informer makes checks and exchanges datagrams.
+type Informer struct {
+	self      registrar.Instance
+	hash      uint64
+	publisher *publisher.Publisher
+	checker   *checker.Checker
+	log       zerolog.Logger
+	socket    *net.UDPConn
+	started   time.Time
+	view      atomic.Pointer[view]
+	heard     sync.Map // From an instance's hash to *atomic.Int64, when it was last heard.
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// New opens the instance's port for datagrams and starts an Informer.
+func New(self registrar.Instance, p *publisher.Publisher, c *checker.Checker, log zerolog.Logger) (*Informer, error) {
+	address, err := net.ResolveUDPAddr("udp4", self.Peers())
+	if err != nil {
+		return nil, errors.Wrap(err, "address for datagrams")
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for datagrams")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &Informer{
+		self: self, hash: xxhash.Sum64String(string(self.ID())), publisher: p, checker: c, log: log,
+		socket: socket, started: time.Now(), cancel: cancel,
+	}
+	i.view.Store(&view{})
+	i.running.Go(func() { i.run(ctx) })
+	i.running.Go(i.receive)
+	return i, nil
+}
+
+// Close ends the checks and waits for them.
+func (i *Informer) Close() {
+	i.cancel()
+	i.socket.Close()
+	i.running.Wait()
+}
+
+func (i *Informer) now() time.Duration { return time.Since(i.started) }
+
+func (i *Informer) run(ctx context.Context) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			v := i.current()
+			i.check(ctx, v)
+			i.tell(v)
+		}
+	}
+}
+
+// current returns the view of the snapshot in force.
+func (i *Informer) current() *view {
+	v := i.view.Load()
+	if snapshot := i.publisher.Current(); v.snapshot != snapshot {
+		v = newView(snapshot, i.self, v)
+		i.view.Store(v)
+	}
+	return v
+}
+
+// check asks the workers that fall to this instance and whose reports are old.
+func (i *Informer) check(ctx context.Context, v *view) {
+	live := i.live(v)
+	for _, t := range v.targets {
+		if t.path == "" || t.worker.ReportAge(t.pool.Now()) < freshAge || !i.mine(t, live) {
+			continue
+		}
+		if t.state.busy.CompareAndSwap(false, true) {
+			i.running.Go(func() {
+				defer t.state.busy.Store(false)
+				i.learn(ctx, t, i.checker.Check(ctx, t.worker.Member(), t.path))
+			})
+		}
+	}
+}
+
+// live returns the peers that have been heard of late.
+func (i *Informer) live(v *view) []uint64 {
+	oldest := int64(i.now() - peerSilence)
+	live := make([]uint64, 0, len(v.peers)+1)
+	live = append(live, i.hash)
+	for _, p := range v.peers {
+		if at, ok := i.heard.Load(p.hash); ok && at.(*atomic.Int64).Load() > oldest {
+			live = append(live, p.hash)
+		}
+	}
+	return live
+}
+
+// mine tells whether the worker falls to this instance, by the highest hash.
+func (i *Informer) mine(t *target, live []uint64) bool {
+	own := mix(t.hash ^ i.hash)
+	for _, peer := range live {
+		if mix(t.hash^peer) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// mix spreads the bits of a hash (Steele, Lea and Flood, "Fast Splittable
+// Pseudorandom Number Generators", 2014).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (i *Informer) learn(ctx context.Context, t *target, health checker.Health) {
+	if ctx.Err() != nil {
+		return
+	}
+	var reading checker.Reading
+	switch h := health.(type) {
+	case checker.Well:
+		reading = h.Load()
+		t.worker.SetAiling(false)
+	case checker.Ill:
+		reading = h.Load()
+		t.worker.SetAiling(true)
+	case checker.Away:
+		i.log.Debug().Err(h.Err()).Str("worker", string(t.worker.ID())).Msg("worker did not answer a status check")
+		t.state.away.Store(true)
+		t.pool.Away(t.worker)
+		return
+	case checker.Misplaced:
+		i.log.Info().Str("worker", string(t.worker.ID())).Str("found", string(h.ID())).Msg("address belongs to another worker")
+		t.pool.Draining(t.worker)
+		return
+	}
+	if load, ok := reading.Load(); ok {
+		t.worker.Reported(load.Report(t.pool.Now()))
+	}
+}
+
+// tell sends the peers of the region what this instance has learnt itself since
+// the last time.
+func (i *Informer) tell(v *view) {
+	if len(v.peers) == 0 {
+		return
+	}
+	var records []record
+	for _, t := range v.targets {
+		if r, ok := t.news(); ok {
+			records = append(records, r)
+		}
+	}
+	data, err := encode(i.hash, records)
+	if err != nil {
+		i.log.Error().Err(err).Msg("datagram could not be made")
+		return
+	}
+	for _, p := range v.peers {
+		if _, err := i.socket.WriteToUDP(data, p.address); err != nil {
+			i.log.Debug().Err(err).Msg("datagram could not be sent")
+			continue
+		}
+		sentTotal.Inc()
+	}
+}
+
+func (i *Informer) receive() {
+	buffer := make([]byte, mostDatagram)
+	for {
+		n, _, err := i.socket.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			i.log.Debug().Err(err).Msg("datagram could not be received")
+			continue
+		}
+		receivedTotal.Inc()
+		sender, records, err := decode(buffer[:n])
+		if err != nil {
+			i.log.Debug().Err(err).Msg("datagram is not readable")
+			continue
+		}
+		i.hear(sender, records)
+	}
+}
+
+func (i *Informer) hear(sender uint64, records []record) {
+	at, ok := i.heard.Load(sender)
+	if !ok {
+		at, _ = i.heard.LoadOrStore(sender, &atomic.Int64{})
+	}
+	at.(*atomic.Int64).Store(int64(i.now()))
+	v := i.view.Load()
+	for _, r := range records {
+		if t := v.byHash[r.Worker]; t != nil {
+			t.hear(r)
+		}
+	}
+}
+
+// target is a worker of the region.
+type target struct {
+	worker *tracker.Worker
+	pool   *limiter.Pool
+	path   string
+	hash   uint64
+	state  *state
+}
+
+// state is what outlives a change of the snapshot.
+type state struct {
+	busy atomic.Bool  // A check is under way.
+	away atomic.Bool  // The last check had no answer, which is still to be told.
+	told atomic.Int64 // The time of the last report that was told.
+}
+
+// news returns what is new of the worker, if this instance learnt it itself.
+func (t *target) news() (record, bool) {
+	if t.state.away.Swap(false) {
+		return record{Worker: t.hash, Flags: flagAway}, true
+	}
+	report, ok := t.worker.Report()
+	if !ok || report.IsHeard() || int64(report.At()) <= t.state.told.Load() {
+		return record{}, false
+	}
+	t.state.told.Store(int64(report.At()))
+	r := newRecord(t.hash, report, t.pool.Now())
+	if t.worker.Ailing() {
+		r.Flags |= flagAil
+	}
+	return r, true
+}
+
+// hear takes over a peer's word.
+func (t *target) hear(r record) {
+	if r.Flags&flagAway != 0 {
+		t.pool.Away(t.worker)
+		return
+	}
+	if t.worker.Reported(r.report(t.pool.Now())) {
+		t.worker.SetAiling(r.Flags&flagAil != 0)
+	}
+}
--- /dev/null
+++ b/informer/view.go
@@ -0,0 +1,59 @@
+package informer
+
+import (
+	"net"
+
+	"burdocklane/publisher"
+	"burdocklane/registrar"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// view is what a snapshot means to the informer: the workers and the peers of
+// the region. It is immutable.
+type view struct {
+	snapshot *publisher.Snapshot
+	targets  []*target
+	byHash   map[uint64]*target
+	peers    []peer
+}
+
+type peer struct {
+	hash    uint64
+	address *net.UDPAddr
+}
+
+// newView keeps the state of targets that stay.
+func newView(s *publisher.Snapshot, self registrar.Instance, old *view) *view {
+	v := &view{snapshot: s, byHash: map[uint64]*target{}}
+	for _, service := range s.Deployment().Services() {
+		lane := s.Lane(service.Name())
+		if lane == nil {
+			continue
+		}
+		for _, w := range lane.Pool().Workers() {
+			if w.Distance() > regionalSteps || w.Member().Leaving() {
+				continue
+			}
+			t := &target{worker: w, pool: lane.Pool(), path: service.HealthPath(), hash: hashOf(w.Member()), state: &state{}}
+			if before := old.byHash[t.hash]; before != nil {
+				t.state = before.state
+			}
+			v.targets = append(v.targets, t)
+			v.byHash[t.hash] = t
+		}
+	}
+	for _, instance := range s.List().Instances() {
+		if instance.ID() == self.ID() || instance.Place().Region() != self.Place().Region() {
+			continue
+		}
+		if address, err := net.ResolveUDPAddr("udp4", instance.Peers()); err == nil {
+			v.peers = append(v.peers, peer{hash: xxhash.Sum64String(string(instance.ID())), address: address})
+		}
+	}
+	return v
+}
+
+func hashOf(w registrar.Worker) uint64 {
+	return xxhash.Sum64String(string(w.ID()) + "@" + w.Address())
+}
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -29,6 +29,7 @@
 	deadline time.Time
 	avoid    []registrar.WorkerID
 	lending  bool
+	within   time.Duration
 }
 
 // AskOption sets one property of an Ask.
@@ -56,6 +57,13 @@
 	return a
 }
 
+// Within returns a that turns down workers that are expected to take longer,
+// where the policy knows what to expect.
+func (a Ask) Within(d time.Duration) Ask {
+	a.within = d
+	return a
+}
+
 func (a *Ask) avoids(id registrar.WorkerID) bool {
 	for _, worker := range a.avoid {
 		if worker == id {
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -60,6 +60,7 @@
 	roster  atomic.Pointer[roster]
 	turn    atomic.Uint64
 	mean    atomic.Int64
+	calm    atomic.Int64            // Mean latency at the usual pace.
 	near    [distances]atomic.Int64 // Mean latency by distance.
 	far     *budgeter.Share
 	waiting atomic.Int32
@@ -150,7 +151,7 @@
 	for _, w := range old.workers {
 		known[w.ID()] = w
 	}
-	shares := Shares(list, instances, p.self)
+	shares := p.sharesOf(list, instances)
 	next := &roster{workers: make([]*tracker.Worker, 0, len(list))}
 	for i, member := range list {
 		w := p.keepOrAdd(known, member, len(old.workers) > 0)
@@ -163,11 +164,25 @@
 	p.dispatch()
 }
 
+// sharesOf deals the slots out. A policy that does not keep to shares may use
+// every slot.
+func (p *Pool) sharesOf(list []registrar.Worker, instances []registrar.Instance) []int {
+	if p.reported() {
+		slots := make([]int, len(list))
+		for i, member := range list {
+			slots[i] = member.Slots()
+		}
+		return slots
+	}
+	return Shares(list, instances, p.self)
+}
+
 func (p *Pool) keepOrAdd(known map[registrar.WorkerID]*tracker.Worker, member registrar.Worker, cold bool) *tracker.Worker {
 	distance := p.self.Place().Distance(member.Place())
 	w := known[member.ID()]
-	if w == nil || w.Address() != member.Address() {
+	if w == nil || !w.Member().SameIncarnation(member) {
 		w = tracker.NewWorker(member, distance, cold)
+		w.ColdUntil(p.Now() + member.ColdFor())
 	} else if w.Member().Leaving() && !member.Leaving() {
 		w.Stay()
 	}
@@ -184,6 +199,9 @@
 	p.askForProbes()
 	p.far.Deposit()
 	var seen Seen
+	if p.reported() {
+		return p.acquireReported(&ask)
+	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		worker, decision := p.try(p.policy, &ask, &seen)
 		switch decision.(type) {
@@ -248,7 +266,7 @@
 	*seen = Seen{total: int32(len(workers)), queued: p.waiting.Load()}
 	ejected := 0
 	for _, w := range workers {
-		c := w.Candidate(means[w.Distance()], now, ask.avoids(w.ID())).Capped(most)
+		c := p.candidate(w, means[w.Distance()], now, ask).Capped(most)
 		candidates = append(candidates, c)
 		seen.count(c)
 		if c.State() == picker.Ejected {
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -15,12 +15,15 @@
 		return Granted{}, false
 	}
 	var seen Seen
-	worker, decision := p.try(p.policy, &ask, &seen)
+	worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
 	if _, ok := decision.(picker.Send); ok && !ask.avoids(worker.ID()) {
 		return Granted{pool: p, worker: worker, seen: seen}, true
 	} else if ok {
 		p.giveBack(worker)
 	}
+	if p.reported() {
+		return Granted{}, false
+	}
 	worker, ok := p.takeOverflow(&ask)
 	return Granted{pool: p, worker: worker, overflow: true, seen: seen}, ok
 }
@@ -34,6 +37,7 @@
 	}
 	g.worker.Succeeded(latency, p.Now())
 	p.observe(latency, g.worker.Distance())
+	p.observeCalm(g.worker, latency)
 }
 
 // Failed notes that the worker failed a call.
@@ -41,10 +45,19 @@
 
 // Unreachable notes that no connection to the worker could be made. Nothing is
 // sent there for a while.
-func (p *Pool) Unreachable(g Granted) { p.dispatchAfter(g.worker.Unreachable(p.Now())) }
+func (p *Pool) Unreachable(g Granted) {
+	if p.reported() {
+		p.Away(g.worker)
+		return
+	}
+	p.dispatchAfter(g.worker.Unreachable(p.Now()))
+}
 
 // Shed notes that the worker declined a call for overload.
 func (p *Pool) Shed(g Granted, retryAfter time.Duration) {
+	if p.reported() && retryAfter <= 0 {
+		retryAfter = shedPause
+	}
 	p.dispatchAfter(g.worker.Shed(retryAfter, p.Now()))
 }
 
--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -13,12 +13,16 @@
 	"burdocklane/registrar"
 	"burdocklane/retrier"
 	"burdocklane/sender"
+
+	"github.com/go-faster/errors"
 )
 
+// errSpoilt is the error of a success that its worker did not sign.
+var errSpoilt = errors.New("the answer bears no signature")
+
 // exchange is one caller's request with the responses of its attempts.
 type exchange struct {
-	sender  *sender.Sender
-	drained func(*classifier.Call, registrar.Worker)
+	handler *Handler
 	request *http.Request
 	id      string
 	body    *requestBody
@@ -29,7 +33,7 @@
 
 // transmit makes one attempt; it is a dispatcher.Transmit.
 func (x *exchange) transmit(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result {
-	switch o := x.sender.Send(ctx, x.outgoing(call, worker)).(type) {
+	switch o := x.handler.sender.Send(ctx, x.outgoing(call, worker)).(type) {
 	case sender.Answer:
 		return x.answered(attempt, call, worker, o.Response())
 	case sender.Unsent:
@@ -41,9 +45,17 @@
 }
 
 func (x *exchange) answered(attempt int, call *classifier.Call, worker registrar.Worker, response *http.Response) retrier.Result {
-	if response.Header.Get(HeaderDrain) != "" {
+	dialect := x.handler.dialect
+	if response.Header.Get(HeaderDrain) != "" || dialect.misdirected(response) {
 		response.Header.Del(HeaderDrain)
-		x.drained(call, worker)
+		x.handler.drained(call, worker)
+	}
+	if text := response.Header.Get(dialect.load); dialect.load != "" && text != "" {
+		x.handler.reported(call, worker, text)
+	}
+	if dialect.spoilt(response) {
+		response.Body.Close()
+		return retrier.NewLost(errSpoilt)
 	}
 	if response.StatusCode >= http.StatusTooManyRequests {
 		bufferError(response)
@@ -51,7 +63,7 @@
 	x.mutex.Lock()
 	x.responses[attempt] = response
 	x.mutex.Unlock()
-	if call.Service().NotRun(response.StatusCode) {
+	if call.Service().NotRun(response.StatusCode) || dialect.declines(response) {
 		return retrier.NewDeclined(response.StatusCode, retryAfter(response.Header))
 	}
 	return retrier.NewAnswered(response.StatusCode)
@@ -96,8 +108,11 @@
 	removeHopByHop(header)
 	header.Del("Expect")
 	header.Set(HeaderRequestID, x.id)
-	header.Set(HeaderTimeout, formatTimeout(time.Until(call.Deadline())))
-	addForwardedFor(header, in)
+	x.handler.dialect.setTimeLeft(header, time.Until(call.Deadline()))
+	x.handler.dialect.address(header, worker)
+	if !x.handler.dialect.withoutOwn {
+		addForwardedFor(header, in)
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "") // Keeps net/http from adding its own.
 	}
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -10,10 +10,12 @@
 	"burdocklane/asserter"
 	"burdocklane/classifier"
 	"burdocklane/dispatcher"
+	"burdocklane/limiter"
 	"burdocklane/parser"
 	"burdocklane/publisher"
 	"burdocklane/registrar"
 	"burdocklane/sender"
+	"burdocklane/tracker"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
@@ -28,6 +30,7 @@
 	sender     *sender.Sender
 	asserter   *asserter.Asserter
 	limits     parser.Limits
+	dialect    Dialect
 	buffers    sync.Pool
 	draining   atomic.Bool
 }
@@ -36,9 +39,18 @@
 // elsewhere.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// HandlerOption sets one property of a Handler.
+type HandlerOption func(*Handler)
+
+// WithDialect sets what differs from burdocklane's own messages.
+func WithDialect(d Dialect) HandlerOption { return func(h *Handler) { h.dialect = d } }
+
 // NewHandler returns a handler with the given limits against bad callers.
-func NewHandler(d *dispatcher.Dispatcher, p *publisher.Publisher, s *sender.Sender, a *asserter.Asserter, limits parser.Limits) *Handler {
-	h := &Handler{dispatcher: d, publisher: p, sender: s, asserter: a, limits: limits}
+func NewHandler(d *dispatcher.Dispatcher, p *publisher.Publisher, s *sender.Sender, a *asserter.Asserter, limits parser.Limits, opts ...HandlerOption) *Handler {
+	h := &Handler{dispatcher: d, publisher: p, sender: s, asserter: a, limits: limits, dialect: NewDialect()}
+	for _, opt := range opts {
+		opt(h)
+	}
 	h.buffers.New = func() any { return new([copyBufferBytes]byte) }
 	return h
 }
@@ -48,23 +60,23 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	head := readHead(r)
+	head := readHead(r, h.dialect)
 	if status, reason := h.unacceptable(r); status != 0 {
 		w.Header().Set("Connection", "close")
-		refuse(w, head.ID(), status, outcomeNotRun, reason)
+		h.refuse(w, head.ID(), status, outcomeNotRun, reason)
 		return
 	}
 	body, err := readBody(r, h.callerBody(w, r), h.limits.ReplayBytes())
 	if err != nil {
 		w.Header().Set("Connection", "close")
-		refuse(w, head.ID(), http.StatusBadRequest, outcomeNotRun, "request-body")
+		h.refuse(w, head.ID(), http.StatusBadRequest, outcomeNotRun, "request-body")
 		return
 	}
-	x := &exchange{sender: h.sender, drained: h.drained, request: r, id: head.ID(), body: body}
+	x := &exchange{handler: h, request: r, id: head.ID(), body: body}
 	verdict := h.dispatcher.Dispatch(r.Context(), head, body.replayable(), x.transmit)
 	done, ok := verdict.(dispatcher.Done)
 	if !ok {
-		refuseVerdict(w, head.ID(), verdict)
+		h.refuseVerdict(w, head.ID(), verdict)
 		return
 	}
 	h.pass(w, head.ID(), done, x.response(done.Attempt()))
@@ -94,13 +106,33 @@
 
 // drained takes a worker's own word that it is leaving.
 func (h *Handler) drained(call *classifier.Call, worker registrar.Worker) {
+	if pool, found := h.find(call, worker); found != nil {
+		pool.Draining(found)
+	}
+}
+
+// reported takes a worker's report of its load.
+func (h *Handler) reported(call *classifier.Call, worker registrar.Worker, text string) {
+	load, err := parser.ParseLoad(text)
+	if err != nil {
+		h.asserter.Log().Debug().Err(err).Str("worker", string(worker.ID())).Msg("report of load is not readable")
+		return
+	}
+	if pool, found := h.find(call, worker); found != nil {
+		found.Reported(load.Report(pool.Now()))
+	}
+}
+
+func (h *Handler) find(call *classifier.Call, worker registrar.Worker) (*limiter.Pool, *tracker.Worker) {
 	lane := h.publisher.Current().Lane(call.Service().Name())
 	if lane == nil {
-		return
+		return nil, nil
 	}
-	if found := lane.Pool().Find(worker.ID()); found != nil {
-		lane.Pool().Draining(found)
+	found := lane.Pool().Find(worker.ID())
+	if found == nil || !found.Member().SameIncarnation(worker) {
+		return nil, nil
 	}
+	return lane.Pool(), found
 }
 
 // pass streams the worker's answer to the caller. An answer that breaks off
@@ -112,9 +144,7 @@
 	h.asserter.Check(response.Request.Header.Get(HeaderRequestID) == id, asserter.WholeAnswer, func(e *zerolog.Event) {
 		e.Str("request-id", id).Str("answered", response.Request.Header.Get(HeaderRequestID))
 	})
-	if done.Declined() {
-		response.Header.Set(HeaderOutcome, outcomeNotRun)
-	}
+	h.markDeclined(done, response)
 	writeHeader(w, id, response)
 	if err := h.copyBody(w, response); err != nil {
 		panic(http.ErrAbortHandler)
@@ -125,6 +155,21 @@
 	whole = true
 }
 
+// markDeclined says that a worker's refusal is one, and when to come back if
+// the worker has not said so itself.
+func (h *Handler) markDeclined(done dispatcher.Done, response *http.Response) {
+	if !done.Declined() {
+		return
+	}
+	if !h.dialect.withoutOwn {
+		response.Header.Set(HeaderOutcome, outcomeNotRun)
+		return
+	}
+	if response.Header.Get("Retry-After") == "" {
+		h.dialect.setRetryAfter(response.Header, returnAfter())
+	}
+}
+
 func writeHeader(w http.ResponseWriter, id string, response *http.Response) {
 	removeHopByHop(response.Header)
 	target := w.Header()
--- a/listener/header.go
+++ b/listener/header.go
@@ -53,11 +53,12 @@
 	}
 }
 
-func readHead(r *http.Request) classifier.Head {
+func readHead(r *http.Request, d Dialect) classifier.Head {
 	return classifier.NewHead(requestID(r), r.Method, r.URL.Path,
 		classifier.WithCaller(callerOf(r)),
 		classifier.WithIdempotencyKey(r.Header.Get(HeaderIdempotencyKey)),
-		classifier.WithTimeout(parseTimeout(r.Header.Get(HeaderTimeout))))
+		classifier.WithHost(r.Host),
+		classifier.WithTimeout(d.timeLeft(r.Header)))
 }
 
 // requestID takes the caller's ID if it is short and printable, or makes one.
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -233,18 +233,19 @@
 
 func parseLimits(root *object) Limits {
 	o, _ := root.child("limits")
+	d := DefaultLimits()
 	limits := Limits{
-		headerBytes:    o.whole("header-bytes", defaultHeaderBytes, 1<<10, 1<<24),
-		bodyBytes:      o.whole("body-bytes", defaultBodyBytes, 0, mostBytes),
-		replayBytes:    o.whole("replay-bytes", defaultReplayBytes, 0, 1<<24),
-		connections:    o.whole("connections", defaultConnections, 1, mostConnections),
-		queue:          o.whole("queue", defaultQueue, 0, mostConnections),
-		headerTimeout:  o.duration("header-timeout", defaultHeaderTimeout),
-		bodyTimeout:    o.duration("body-timeout", defaultBodyTimeout),
-		idleTimeout:    o.duration("idle-timeout", defaultIdleTimeout),
-		connectTimeout: o.duration("connect-timeout", defaultConnectTimeout),
-		upstreamIdle:   o.duration("upstream-idle-timeout", defaultUpstreamIdle),
-		drainTimeout:   o.duration("drain-timeout", defaultDrainTimeout),
+		headerBytes:    o.whole("header-bytes", d.headerBytes, 1<<10, 1<<24),
+		bodyBytes:      o.whole("body-bytes", d.bodyBytes, 0, mostBytes),
+		replayBytes:    o.whole("replay-bytes", d.replayBytes, 0, 1<<24),
+		connections:    o.whole("connections", d.connections, 1, mostConnections),
+		queue:          o.whole("queue", d.queue, 0, mostConnections),
+		headerTimeout:  o.duration("header-timeout", d.headerTimeout),
+		bodyTimeout:    o.duration("body-timeout", d.bodyTimeout),
+		idleTimeout:    o.duration("idle-timeout", d.idleTimeout),
+		connectTimeout: o.duration("connect-timeout", d.connectTimeout),
+		upstreamIdle:   o.duration("upstream-idle-timeout", d.upstreamIdle),
+		drainTimeout:   o.duration("drain-timeout", d.drainTimeout),
 	}
 	o.finish()
 	return limits
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -2,6 +2,8 @@
 // values and gives a plain value: no clock, no network, no locks.
 package picker
 
+import "time"
+
 // Decision is what a policy says of a call: one of Send, Wait or Refuse.
 type Decision interface{ decision() }
 
@@ -108,6 +110,12 @@
 	return c
 }
 
+// Expecting returns c with another expected latency.
+func (c Candidate) Expecting(latency time.Duration) Candidate {
+	c.latency = int64(latency)
+	return c
+}
+
 // Capped returns c with a limit of at most the given calls.
 func (c Candidate) Capped(most int32) Candidate {
 	c.limit = min(c.limit, most)
--- /dev/null
+++ b/picker/estimate.go
@@ -0,0 +1,78 @@
+package picker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceMemory is the time in which what is known of a worker's pace fades:
+	// its machine's load changes about that often.
+	paceMemory = 500 * time.Millisecond
+	// usualPace is the pace to expect of a worker that nothing is known of.
+	usualPace = 2.0
+	// crowdedShare of a worker's slots in use is where workers start to slow
+	// down.
+	crowdedShare = 0.8
+	// crowdedFactor is how much slower a worker is beyond crowdedShare.
+	crowdedFactor = 1.7
+	// coldFactor is how much slower a worker is that has just started.
+	coldFactor = 2.0
+)
+
+// Load is what is known of a worker's load: its own report, how old it is, and
+// the calls that this instance has sent there since.
+type Load struct {
+	running int32
+	waiting int32
+	slots   int32
+	pace    float64
+	age     time.Duration
+	since   int32
+	cold    bool
+}
+
+// NewLoad returns the load of a worker that reported running and waiting calls
+// and its pace, 1 being the usual time for a call, an age ago.
+func NewLoad(running, waiting, slots int32, pace float64, age time.Duration) Load {
+	return Load{running: running, waiting: waiting, slots: slots, pace: pace, age: age}
+}
+
+// UnknownLoad returns the load of a worker that has not reported any.
+func UnknownLoad(slots int32) Load {
+	return Load{slots: slots, pace: usualPace, age: math.MaxInt64}
+}
+
+// Since returns l with the calls sent to the worker since its report.
+func (l Load) Since(calls int32) Load {
+	l.since = calls
+	return l
+}
+
+// Cold returns l of a worker that has just started.
+func (l Load) Cold(cold bool) Load {
+	l.cold = cold
+	return l
+}
+
+// Pace returns the pace to expect now: what was reported, fading to the usual.
+func (l Load) Pace() float64 {
+	weight := math.Exp(-float64(l.age) / float64(paceMemory))
+	return usualPace + weight*(l.pace-usualPace)
+}
+
+// Estimate returns how long a call takes at the worker that takes base when
+// nothing holds it up: its pace, and its turn if the slots are taken.
+func (l Load) Estimate(base time.Duration) time.Duration {
+	slots := float64(max(l.slots, 1))
+	calls := float64(max(l.running+l.waiting+l.since, 0) + 1)
+	each := float64(base) * l.Pace()
+	if l.cold {
+		each *= coldFactor
+	}
+	if calls > crowdedShare*slots {
+		each *= crowdedFactor
+	}
+	wait := max(calls-slots, 0) / slots * each
+	return time.Duration(each + wait)
+}
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -1,9 +1,12 @@
 package picker
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Policy is a way to choose a worker: one of Random, RoundRobin,
-// LeastInFlight, TwoChoices, ProbePool, SharedSlots or Overflow.
+// LeastInFlight, TwoChoices, ProbePool, SharedSlots, Overflow or ReportedLoad.
 type Policy interface{ policy() }
 
 // Random sends to any usable worker.
@@ -37,6 +40,16 @@
 // NewOverflow returns the policy; far allows workers of other regions.
 func NewOverflow(far bool) Overflow { return Overflow{far: far} }
 
+// ReportedLoad sends to the worker that is expected to answer first by what the
+// workers report of their load, with a toll for those farther away. Candidates
+// come with that expectation as their latency.
+type ReportedLoad struct{ most time.Duration }
+
+// NewReportedLoad returns the policy; workers that are expected to take longer
+// than most are left out, 0 for no bound.
+func NewReportedLoad(most time.Duration) ReportedLoad { return ReportedLoad{most: most} }
+
+func (ReportedLoad) policy()  {}
 func (Random) policy()        {}
 func (RoundRobin) policy()    {}
 func (LeastInFlight) policy() {}
@@ -71,6 +84,8 @@
 		return pickFree(candidates, rng)
 	case Overflow:
 		return pickOverflow(candidates, p.far, rng)
+	case ReportedLoad:
+		return pickReported(candidates, p.most, rng)
 	}
 	return Refuse{}
 }
@@ -241,3 +256,50 @@
 }
 
 func routable(s State) bool { return s == Usable || s == Suspect }
+
+const (
+	// spread is the share by which expectations are varied, so that instances
+	// that know the same do not all choose the same worker.
+	spread = 0.1
+	// zoneToll and regionToll are the time that a worker in another zone or
+	// region has to save to be worth the way there and the traffic.
+	zoneToll   = 8 * time.Millisecond
+	regionToll = 56 * time.Millisecond
+	// suspectToll is the time that a suspect worker has to save.
+	suspectToll = 100 * time.Millisecond
+)
+
+// toll is the worth, as time, of the traffic to the worker's place.
+func (c *Candidate) toll() int64 {
+	switch c.distance {
+	case 0:
+		return 0
+	case farDistance:
+		return int64(regionToll)
+	}
+	return int64(zoneToll)
+}
+
+// pickReported leaves out workers that an earlier attempt was sent to.
+func pickReported(candidates []Candidate, most time.Duration, rng *rand.Rand) Decision {
+	best, usable := newLeast(), false
+	for i := range candidates {
+		c := &candidates[i]
+		if !routable(c.state) || c.avoid {
+			continue
+		}
+		usable = true
+		if most > 0 && c.latency > int64(most) {
+			continue
+		}
+		varied := float64(c.latency) * (1 + spread*rng.Float64())
+		if c.state == Suspect {
+			varied += float64(suspectToll)
+		}
+		best.offer(i, int64(varied)+c.toll(), rng)
+	}
+	if usable {
+		return best.or(Wait{})
+	}
+	return Refuse{}
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -37,12 +37,24 @@
 	current atomic.Pointer[Snapshot]
 	self    registrar.Instance
 	options []limiter.Option
+	retries Retries
 	observe func(descriptor.Deployment)
 
 	mutex   sync.Mutex // Guards the writers' side only.
 	changed chan struct{}
 }
 
+// Retries is how many extra attempts the fleet may make for each service: a
+// share of the calls, and a number of attempts in reserve. Each instance takes
+// an even part of the reserve.
+type Retries struct {
+	share   float64
+	reserve float64
+}
+
+// NewRetries returns the fleet's budget of extra attempts.
+func NewRetries(share, reserve float64) Retries { return Retries{share: share, reserve: reserve} }
+
 // Option sets one property of a Publisher.
 type Option func(*Publisher)
 
@@ -51,6 +63,10 @@
 	return func(p *Publisher) { p.options = opts }
 }
 
+// WithRetries sets the fleet's budget of extra attempts for each service. The
+// default bounds each instance by itself.
+func WithRetries(r Retries) Option { return func(p *Publisher) { p.retries = r } }
+
 // WithObserver sets who is told of each configuration just before it comes into
 // force. It must not call the Publisher but for Current.
 func WithObserver(observe func(descriptor.Deployment)) Option {
@@ -116,13 +132,20 @@
 	for _, service := range d.Services() {
 		lane := old.lanes[service.Name()]
 		if lane == nil {
-			lane = &Lane{pool: limiter.New(service.Name(), p.self, p.options...), budget: budgeter.NewShare(retrier.BudgetShare)}
+			lane = &Lane{pool: limiter.New(service.Name(), p.self, p.options...), budget: p.newBudget()}
 		}
 		lanes[service.Name()] = lane
 	}
 	return lanes
 }
 
+func (p *Publisher) newBudget() *budgeter.Share {
+	if p.retries.share == 0 {
+		return budgeter.NewShare(retrier.BudgetShare)
+	}
+	return budgeter.NewEmptyShare(p.retries.share)
+}
+
 // swap puts the fleet into the pools, then the snapshot in force; the caller
 // holds the mutex.
 func (p *Publisher) swap(next *Snapshot) {
@@ -132,6 +155,9 @@
 	}
 	for name, lane := range next.lanes {
 		lane.pool.Update(byService[name], next.list.Instances())
+		if instances := len(next.list.Instances()); p.retries.reserve > 0 && instances > 0 {
+			lane.budget.SetMost(p.retries.reserve / float64(instances))
+		}
 	}
 	p.current.Store(next)
 	close(p.changed)
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"burdocklane/descriptor"
 )
@@ -49,6 +50,8 @@
 	place   Place
 	slots   int
 	leaving bool
+	started int64
+	coldFor time.Duration
 }
 
 // NewWorker returns a worker. The address is host:port; slots is what the
@@ -57,6 +60,21 @@
 	return Worker{id: id, service: service, address: address, place: place, slots: slots, leaving: leaving}
 }
 
+// WithStart returns a copy of w that started at a time, in Unix milliseconds,
+// and is slow until it has run for coldFor longer.
+func (w Worker) WithStart(unixMilli int64, coldFor time.Duration) Worker {
+	w.started, w.coldFor = unixMilli, coldFor
+	return w
+}
+
+// SameIncarnation tells whether w and other are one start of the same worker.
+func (w Worker) SameIncarnation(other Worker) bool {
+	return w.id == other.id && w.address == other.address && w.service == other.service && w.started == other.started
+}
+
+// ColdFor returns how much longer the worker was said to be slow.
+func (w Worker) ColdFor() time.Duration { return w.coldFor }
+
 // ID returns the identity of the worker.
 func (w Worker) ID() WorkerID { return w.id }
 
--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -18,12 +18,6 @@
 
 	// BudgetShare is the share of calls that may be retried or hedged.
 	BudgetShare = 0.1
-
-	// hedgeFactor times the mean latency is when a second attempt starts.
-	hedgeFactor = 2.5
-	// hedgeFloor is the shortest delay of a hedged request: below it the
-	// precision of timers and the machine's own noise would start them.
-	hedgeFloor = 2 * time.Millisecond
 )
 
 // Step is what follows an attempt: Again or Settle.
@@ -114,7 +108,7 @@
 // at-most-once call is tried again only if no attempt can have run. A retry is
 // taken from the budget.
 func Next(call *classifier.Call, h History, latest Result, budget *budgeter.Share, now time.Time) Step {
-	if !wantsRetry(latest) || h.attempts >= MostAttempts || !h.replayable {
+	if !wantsRetry(call, latest) || h.attempts >= mostAttempts(call) || !h.replayable {
 		return settle(h, latest)
 	}
 	if h.MaybeRan() && !call.MayRepeat() {
@@ -127,14 +121,28 @@
 	return Again{delay: delay}
 }
 
+// mostAttempts is the class's own bound, up to MostAttempts.
+func mostAttempts(call *classifier.Call) int {
+	if own := call.Class().Attempts(); own > 0 {
+		return min(own, MostAttempts)
+	}
+	return MostAttempts
+}
+
+// MayHedge tells whether a call that has had the given number of attempts may
+// have one beside the last.
+func MayHedge(call *classifier.Call, replayable bool, attempts int) bool {
+	return replayable && call.MayRepeat() && attempts < mostAttempts(call)
+}
+
 // wantsRetry tells whether another attempt could do better. Whether it may be
 // made is for Next to say.
-func wantsRetry(latest Result) bool {
+func wantsRetry(call *classifier.Call, latest Result) bool {
 	switch r := latest.(type) {
 	case Unsent, Declined, Lost:
 		return true
 	case Answered:
-		return temporary(r.status)
+		return temporary(r.status) || (r.status == http.StatusInternalServerError && call.Class().RetriesServerErrors())
 	}
 	return false
 }
@@ -172,12 +180,3 @@
 	most := min(backoffBase<<min(attempts, 8), backoffMost)
 	return rand.N(most)
 }
-
-// HedgeDelay returns when a second attempt of the call may start beside the
-// first, given the service's mean latency, and false if it must not.
-func HedgeDelay(call *classifier.Call, replayable bool, mean time.Duration) (time.Duration, bool) {
-	if mean <= 0 || !replayable || !call.MayRepeat() {
-		return 0, false
-	}
-	return max(time.Duration(hedgeFactor*float64(mean)), hedgeFloor), true
-}
--- /dev/null
+++ b/retrier/hedge.go
@@ -0,0 +1,75 @@
+package retrier
+
+import "time"
+
+const (
+	// hedgeFactor times the mean latency is when a second attempt starts, if
+	// nothing is known of the first one's worker.
+	hedgeFactor = 2.5
+	// hedgeFloor is the shortest delay of a hedged request: below it the
+	// precision of timers and the machine's own noise would start them.
+	hedgeFloor = 2 * time.Millisecond
+	// slowPace is the pace from which a worker is too slow to wait for.
+	slowPace = 3.0
+	// lateFactor times the usual time is when a call is late at a worker that
+	// reports a good pace.
+	lateFactor = 1.7
+	// lookAgain is how long after a look at a worker's pace the next one is due.
+	lookAgain = 25 * time.Millisecond
+)
+
+// HedgeStep says when a second attempt starts beside the first: Hedge or Later.
+type HedgeStep interface{ hedgeStep() }
+
+// Hedge says that the second attempt is due.
+type Hedge struct{}
+
+// Later says when to look again.
+type Later struct{ delay time.Duration }
+
+func (Hedge) hedgeStep() {}
+func (Later) hedgeStep() {}
+
+// Delay returns how long to wait before the next look.
+func (l Later) Delay() time.Duration { return l.delay }
+
+// Outlook is what is known of an attempt that is under way: the time that a
+// call usually takes, and the pace of its worker, if the worker reports it.
+type Outlook struct {
+	usual time.Duration
+	pace  float64
+	known bool
+}
+
+// NewOutlook returns the outlook of an attempt; known tells whether the pace,
+// 1 being the usual, is the worker's own.
+func NewOutlook(usual time.Duration, pace float64, known bool) Outlook {
+	return Outlook{usual: usual, pace: pace, known: known}
+}
+
+// LookAgain returns when to look at a refused hedge again.
+func LookAgain() Later { return Later{delay: lookAgain} }
+
+// HedgeAfter says whether a second attempt is due when the first has taken the
+// given time. A worker's report that it has become slow makes it due at once.
+func HedgeAfter(o Outlook, elapsed time.Duration) HedgeStep {
+	if !o.known {
+		return hedgeAt(max(time.Duration(hedgeFactor*float64(o.usual)), hedgeFloor), elapsed)
+	}
+	if o.pace >= slowPace {
+		return Hedge{}
+	}
+	switch s := hedgeAt(time.Duration(lateFactor*float64(o.usual)), elapsed).(type) {
+	case Later:
+		return Later{delay: min(s.delay, lookAgain)}
+	default:
+		return s
+	}
+}
+
+func hedgeAt(due, elapsed time.Duration) HedgeStep {
+	if elapsed >= due {
+		return Hedge{}
+	}
+	return Later{delay: due - elapsed}
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,87 @@
+// Package runner is the command line of an instance on the users' platform.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"burdocklane/conductor"
+	"burdocklane/platform"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+// Exit statuses.
+const (
+	statusFailed   = 1
+	statusBadInput = 2
+)
+
+// Run runs the command line and returns the exit status.
+func Run(args []string, stdout, stderr io.Writer) int {
+	cmd := newCommand()
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.ExecuteContext(context.Background())
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(stderr, err)
+	var bad *platform.SettingsError
+	if errors.As(err, &bad) {
+		return statusBadInput
+	}
+	return statusFailed
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:           "burdocklane-instance",
+		Short:         "Run one instance on the users' platform until it is told to stop",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd, path) },
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	return cmd
+}
+
+func run(cmd *cobra.Command, path string) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	settings, err := read(path)
+	if err != nil {
+		return err
+	}
+	instance, err := conductor.New(settings, cmd.OutOrStdout())
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-reload:
+			settings, err := read(path)
+			instance.Reload(settings, err)
+		case <-stop:
+			return instance.Close()
+		}
+	}
+}
+
+func read(path string) (platform.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return platform.Settings{}, errors.Wrap(err, "settings")
+	}
+	return platform.ParseSettings(data)
+}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -1,11 +1,14 @@
-// Package sender makes one attempt of a call at a worker over HTTP/1.1.
+// Package sender makes one attempt of a call at a worker over HTTP/1.1. It
+// never sends a request twice by itself.
 package sender
 
 import (
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +19,18 @@
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 30 * time.Second
 	idlePerWorker         = 64
-	bufferBytes           = 16 << 10
+	sweepEvery            = 5 * time.Second
+	// keepAliveSlack is how long before a worker's own idle timeout a
+	// connection is no longer used.
+	keepAliveSlack = time.Second
+	// inlineBytes of a request's body are written before the answer is read;
+	// longer ones are written beside, since a worker may answer before it has
+	// read them.
+	inlineBytes = 4 << 10
+	// skippedMost bounds the answers to other requests that are passed over.
+	skippedMost = 4
+	// skippedBytes bounds the body of an answer that is passed over.
+	skippedBytes = 64 << 10
 )
 
 // Outcome is what became of one attempt: Answer, Unsent or Lost.
@@ -47,12 +61,18 @@
 
 // Sender keeps connections to the workers.
 type Sender struct {
-	transport *http.Transport
-	traffic   atomic.Int64
+	dialer  *dialer
+	workers sync.Map // From address to *stack.
+	traffic atomic.Int64
+	dialled atomic.Int64
+	closed  atomic.Bool
+	sweeps  atomic.Pointer[time.Timer]
 
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
 	source         string
+	held           int64
+	echo           string
 }
 
 // Option sets one property of a Sender.
@@ -65,104 +85,255 @@
 
 // WithIdleTimeout sets how long an unused connection is kept. It has to be
 // shorter than the workers' own, or they close connections that are about to
-// be used.
+// be used. A worker's Keep-Alive header goes before it.
 func WithIdleTimeout(d time.Duration) Option { return func(s *Sender) { s.idleTimeout = d } }
 
 // WithSource sets the IP address that connections come from; "" lets the
 // system choose.
 func WithSource(ip string) Option { return func(s *Sender) { s.source = ip } }
 
+// WithHeldBytes makes Send read answers of at most the given bytes to their
+// end, so that one that breaks off counts as Lost.
+func WithHeldBytes(most int64) Option { return func(s *Sender) { s.held = most } }
+
+// WithEcho names a header that workers copy from the request to its answer. An
+// answer with another value belongs to an earlier request and is passed over.
+func WithEcho(header string) Option { return func(s *Sender) { s.echo = header } }
+
 // New returns a Sender without connections.
 func New(opts ...Option) *Sender {
 	s := &Sender{connectTimeout: defaultConnectTimeout, idleTimeout: defaultIdleTimeout}
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.transport = &http.Transport{
-		DialContext:           newDialer(s.connectTimeout, s.source, &s.traffic).dial,
-		MaxIdleConnsPerHost:   idlePerWorker,
-		IdleConnTimeout:       s.idleTimeout,
-		DisableCompression:    true,
-		ReadBufferSize:        bufferBytes,
-		WriteBufferSize:       bufferBytes,
-		ExpectContinueTimeout: 0,
-	}
+	s.dialer = newDialer(s.connectTimeout, s.source, &s.traffic)
+	s.sweeps.Store(time.AfterFunc(sweepEvery, s.sweep))
 	return s
 }
 
 // Traffic returns the bytes sent to and received from workers.
 func (s *Sender) Traffic() int64 { return s.traffic.Load() }
 
+// Dialled returns the number of connections made to workers.
+func (s *Sender) Dialled() int64 { return s.dialled.Load() }
+
 // Close closes the unused connections. Attempts in flight end first by the
 // contexts that they were given.
-func (s *Sender) Close() { s.transport.CloseIdleConnections() }
+func (s *Sender) Close() {
+	s.closed.Store(true)
+	s.sweeps.Load().Stop()
+	s.workers.Range(func(_, idle any) bool {
+		idle.(*stack).closeAll()
+		return true
+	})
+}
+
+// sweep closes connections that have not been used for too long.
+func (s *Sender) sweep() {
+	now := time.Now()
+	s.workers.Range(func(_, idle any) bool {
+		idle.(*stack).sweep(now)
+		return true
+	})
+	if !s.closed.Load() {
+		s.sweeps.Load().Reset(sweepEvery)
+	}
+}
+
+func (s *Sender) stack(address string) *stack {
+	if idle, ok := s.workers.Load(address); ok {
+		return idle.(*stack)
+	}
+	idle, _ := s.workers.LoadOrStore(address, &stack{})
+	return idle.(*stack)
+}
 
-// Send makes one attempt. The request must have no GetBody. Send hides the
-// body behind a reader of its own, since the transport replays requests by
-// itself when the body is empty and the method is safe or an Idempotency-Key
-// header is present.
+// connect returns an unused connection to the worker, or a new one.
+func (s *Sender) connect(ctx context.Context, address string) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if c := s.stack(address).take(time.Now()); c != nil {
+		return c, nil
+	}
+	s.dialled.Add(1)
+	return s.dialer.dial(ctx, address)
+}
+
+// Send makes one attempt at the worker that the request's URL names. The
+// context ends the attempt, and the answer's body with it.
 func (s *Sender) Send(ctx context.Context, request *http.Request) Outcome {
-	mark := &writeMark{}
-	trace := &httptrace.ClientTrace{GotConn: mark.gotConn}
-	request = request.WithContext(httptrace.WithClientTrace(ctx, trace))
-	request.Body = onceBody{body: request.Body}
-	response, err := s.transport.RoundTrip(request)
+	address := request.URL.Host
+	c, err := s.connect(ctx, address)
+	if err != nil {
+		closeBody(request)
+		return Unsent{err: errors.Wrapf(err, "connect to %s", address)}
+	}
+	before := c.written.Load()
+	stop := context.AfterFunc(ctx, func() { c.seal() })
+	x := &exchange{sender: s, conn: c, request: request, stop: stop}
+	response, err := x.run()
 	if err == nil {
 		return Answer{response: response}
 	}
-	err = errors.Wrapf(err, "attempt at %s", request.URL.Host)
-	if mark.wrote() {
+	stop()
+	written := c.seal()
+	x.awaitWriter()
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	err = errors.Wrapf(err, "attempt at %s", address)
+	if written != before {
 		return Lost{err: err}
 	}
 	return Unsent{err: err}
 }
 
-// writeMark remembers how much a connection had written when an attempt got
-// it. HTTP/1.1 serves one attempt at a time, so that whatever is written
-// afterwards belongs to the attempt.
-type writeMark struct {
-	conn   atomic.Pointer[countedConn]
-	before atomic.Int64
-	reused atomic.Bool
+func closeBody(request *http.Request) {
+	if request.Body != nil {
+		request.Body.Close()
+	}
 }
 
-func (m *writeMark) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countedConn)
-	if !ok {
+// release keeps a connection for the next request, or closes it.
+func (s *Sender) release(address string, c *conn, response *http.Response) {
+	idle := s.stack(address)
+	if response.Close || s.closed.Load() || c.sealed.Load() || c.reader.Buffered() > 0 || idle.size.Load() >= idlePerWorker {
+		c.Close()
 		return
 	}
-	m.before.Store(conn.written.Load())
-	if m.conn.Swap(conn) != nil {
-		m.reused.Store(true)
+	c.idleUntil = time.Now().Add(s.idleFor(response.Header))
+	idle.push(c)
+	if s.closed.Load() {
+		idle.closeAll()
+	}
+}
+
+// idleFor returns how long a connection may stay unused, by the worker's word.
+func (s *Sender) idleFor(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		text, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(text); err == nil && seconds >= 0 {
+			return min(s.idleTimeout, time.Duration(seconds)*time.Second-keepAliveSlack)
+		}
+	}
+	return s.idleTimeout
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	sender  *Sender
+	conn    *conn
+	request *http.Request
+	stop    func() bool
+	writing chan error // The end of a write beside the reading, or nil.
+}
+
+func (x *exchange) run() (*http.Response, error) {
+	if err := x.write(); err != nil {
+		return nil, err
+	}
+	response, err := x.read()
+	if err != nil {
+		return nil, err
+	}
+	return x.deliver(response)
+}
+
+// write sends the request, beside the reading if its body is long.
+func (x *exchange) write() error {
+	if x.request.ContentLength >= 0 && x.request.ContentLength <= inlineBytes {
+		return x.flush()
+	}
+	x.writing = make(chan error, 1)
+	go func() { x.writing <- x.flush() }()
+	return nil
+}
+
+func (x *exchange) flush() error {
+	if err := x.request.Write(x.conn.writer); err != nil {
+		return err
 	}
+	return x.conn.writer.Flush()
 }
 
-// wrote ends the connection of a failed attempt and tells whether any byte of
-// the request may have been sent.
-func (m *writeMark) wrote() bool {
-	conn := m.conn.Load()
-	if conn == nil {
+// awaitWriter waits for the write beside the reading; the connection is closed.
+func (x *exchange) awaitWriter() {
+	if x.writing != nil {
+		<-x.writing
+	}
+}
+
+// written tells whether the request has been sent to its end.
+func (x *exchange) written() bool {
+	if x.writing == nil {
+		return true
+	}
+	select {
+	case err := <-x.writing:
+		x.writing = nil
+		return err == nil
+	default:
 		return false
 	}
-	return conn.seal() != m.before.Load() || m.reused.Load()
 }
 
-// onceBody is a request body that the transport cannot take for an empty or a
-// repeatable one.
-type onceBody struct{ body io.ReadCloser }
+// read returns the answer to the request, and passes over interim answers and
+// those to earlier requests.
+func (x *exchange) read() (*http.Response, error) {
+	for range skippedMost {
+		response, err := http.ReadResponse(x.conn.reader, x.request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if x.mine(response) {
+			return response, nil
+		}
+		if _, err := io.CopyN(io.Discard, response.Body, skippedBytes); !errors.Is(err, io.EOF) {
+			return nil, errors.New("a long answer to another request")
+		}
+	}
+	return nil, errors.New("too many answers to other requests")
+}
 
-// Read implements io.Reader.
-func (b onceBody) Read(p []byte) (int, error) {
-	if b.body == nil {
-		return 0, io.EOF
+func (x *exchange) mine(response *http.Response) bool {
+	if x.sender.echo == "" {
+		return true
 	}
-	return b.body.Read(p)
+	got := response.Header.Get(x.sender.echo)
+	return got == "" || got == x.request.Header.Get(x.sender.echo)
 }
 
-// Close implements io.Closer.
-func (b onceBody) Close() error {
-	if b.body == nil {
-		return nil
+// deliver returns the response with its body held, or still on the connection.
+func (x *exchange) deliver(response *http.Response) (*http.Response, error) {
+	whole := response.ContentLength == 0 || response.Body == http.NoBody
+	if !whole && x.sender.held > 0 {
+		var err error
+		if whole, err = hold(response, x.sender.held); err != nil {
+			return nil, err
+		}
+	}
+	if whole {
+		x.finish(response, true)
+		return response, nil
+	}
+	response.Body = &answerBody{Reader: response.Body, source: response.Body, done: func(ended bool) { x.finish(response, ended) }}
+	return response, nil
+}
+
+// finish ends the exchange: the connection is used again if the request was
+// sent and the answer read to their ends.
+func (x *exchange) finish(response *http.Response, ended bool) {
+	if x.stop() && ended && x.written() {
+		x.sender.release(x.request.URL.Host, x.conn, response)
+		return
 	}
-	return b.body.Close()
+	x.conn.seal()
+	x.awaitWriter()
 }
--- a/storer/store.go
+++ b/storer/store.go
@@ -10,11 +10,12 @@
 	"github.com/go-faster/errors"
 )
 
-// Store is a key-value store: *Gateway or *Memory.
+// Store is a key-value store: *Gateway, *Memory or *Remote.
 type Store interface{ store() }
 
 func (*Gateway) store() {}
 func (*Memory) store()  {}
+func (*Remote) store()  {}
 
 // Pair is a key with its value, and the store's revision of its last change.
 type Pair struct {
@@ -37,6 +38,36 @@
 // Revision returns the store's revision at which the pair was last changed.
 func (p Pair) Revision() int64 { return p.revision }
 
+// NewPage returns the pairs that a store held at a revision, in the order of
+// their keys.
+func NewPage(pairs []Pair, revision int64) Page { return Page{pairs: pairs, revision: revision} }
+
+// NewEvent returns the change of a key to a pair.
+func NewEvent(p Pair) Event { return Event{pair: p} }
+
+// NewDeletion returns the removal of a key at a revision.
+func NewDeletion(key string, revision int64) Event {
+	return Event{pair: Pair{key: key, revision: revision}, deleted: true}
+}
+
+// NewBatch returns events in the order of their revisions, and the store's
+// revision after them.
+func NewBatch(events []Event, revision int64) Batch { return Batch{events: events, revision: revision} }
+
+// NewCommitted returns the answer to a transaction.
+func NewCommitted(succeeded bool, revision int64) Committed {
+	return Committed{succeeded: succeeded, revision: revision}
+}
+
+// NewStatusError returns the error for an answer that is not a success.
+func NewStatusError(operation string, status int, message string) *StatusError {
+	return &StatusError{operation: operation, status: status, message: message}
+}
+
+// NewCompactedError returns the error for a watch from a revision whose history
+// is gone.
+func NewCompactedError(revision int64) *CompactedError { return &CompactedError{revision: revision} }
+
 // Page is the answer to a range read: the pairs and the store's revision.
 type Page struct {
 	pairs    []Pair
@@ -159,6 +190,8 @@
 		return s.rangePrefix(ctx, prefix)
 	case *Memory:
 		return s.Range(prefix), nil
+	case *Remote:
+		return s.protocol.Range(ctx, prefix)
 	}
 	return Page{}, errUnknownStore
 }
@@ -171,6 +204,8 @@
 		return s.commit(ctx, t)
 	case *Memory:
 		return s.Commit(t), nil
+	case *Remote:
+		return s.protocol.Commit(ctx, t)
 	}
 	return Committed{}, errUnknownStore
 }
@@ -184,6 +219,8 @@
 		return s.watch(ctx, prefix, from, receive)
 	case *Memory:
 		return s.Watch(ctx, prefix, from, receive)
+	case *Remote:
+		return s.watch(ctx, prefix, from, receive)
 	}
 	return errUnknownStore
 }
@@ -195,6 +232,8 @@
 		return s.grant(ctx, ttl)
 	case *Memory:
 		return s.Grant(ttl, 0), nil
+	case *Remote:
+		return s.protocol.Grant(ctx, ttl)
 	}
 	return 0, errUnknownStore
 }
@@ -206,6 +245,8 @@
 		return s.keepAlive(ctx, lease)
 	case *Memory:
 		return s.KeepAlive(lease) > 0, nil
+	case *Remote:
+		return s.protocol.KeepAlive(ctx, lease)
 	}
 	return false, errUnknownStore
 }
@@ -218,6 +259,8 @@
 	case *Memory:
 		s.Revoke(lease)
 		return nil
+	case *Remote:
+		return s.protocol.Revoke(ctx, lease)
 	}
 	return errUnknownStore
 }
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -21,10 +21,20 @@
 	suspectFactor = 2.5
 	// failuresToEject is the number of failures in a row that ejects a worker.
 	failuresToEject = 3
-	ejectionBase    = time.Second
-	ejectionMost    = 30 * time.Second
-	pauseMost       = 30 * time.Second
-	slowStartLimit  = 1
+	// errorsToEject is the moving share of failed calls that ejects a worker
+	// whose other calls succeed.
+	errorsToEject = 0.5
+	// forgivenShare is the share of failed calls under which a worker's earlier
+	// ejections no longer count.
+	forgivenShare = 0.05
+	// errorWeight is the share of a new call in the moving share of failed ones.
+	errorWeight = 0.15
+	perMillion  = 1e6
+
+	ejectionBase   = time.Second
+	ejectionMost   = 30 * time.Second
+	pauseMost      = 30 * time.Second
+	slowStartLimit = 1
 	// drainLapse is how long a worker's own word that it is leaving counts, if
 	// the platform's list keeps it as live.
 	drainLapse     = time.Minute
@@ -48,6 +58,11 @@
 	ejectedUntil atomic.Int64
 	pausedUntil  atomic.Int64
 	leavingSince atomic.Int64
+	coldUntil    atomic.Int64
+	ailing       atomic.Bool
+	begun        atomic.Int64 // Calls ever sent.
+	errors       atomic.Int64 // Moving share of failed calls, in millionths.
+	report       atomic.Pointer[Report]
 }
 
 // NewWorker returns the state of a worker that has not been used. If cold, its
@@ -115,6 +130,7 @@
 }
 
 func (w *Worker) noteStart(before int32, now time.Duration) {
+	w.begun.Add(1)
 	if before == 0 {
 		w.progressAt.Store(int64(now))
 	}
@@ -129,7 +145,9 @@
 // Succeeded notes a good answer and its latency.
 func (w *Worker) Succeeded(latency, now time.Duration) {
 	w.failures.Store(0)
-	w.ejections.Store(0)
+	if w.noteError(0) < forgivenShare {
+		w.ejections.Store(0)
+	}
 	w.observe(latency, now)
 	if ramp := w.ramp.Load(); ramp < fullSpeedSlots && w.inFlight.Load()+1 >= ramp {
 		next := ramp + 1
@@ -154,12 +172,24 @@
 // After several failures in a row it is ejected for a time that doubles, and
 // comes back with a single slot.
 func (w *Worker) Failed(now time.Duration) time.Duration {
-	if w.failures.Add(1) < failuresToEject {
+	share := w.noteError(1)
+	if w.failures.Add(1) < failuresToEject && share < errorsToEject {
 		return 0
 	}
 	return w.eject(now)
 }
 
+// noteError adds a call to the moving share of failed ones and returns it.
+func (w *Worker) noteError(failed float64) float64 {
+	for {
+		old := w.errors.Load()
+		next := (1-errorWeight)*float64(old)/perMillion + errorWeight*failed
+		if w.errors.CompareAndSwap(old, int64(next*perMillion)) {
+			return next
+		}
+	}
+}
+
 // Unreachable notes that the worker takes no connection, which ejects it at
 // once, and returns how long it rests.
 func (w *Worker) Unreachable(now time.Duration) time.Duration { return w.eject(now) }
@@ -192,6 +222,15 @@
 	return pause
 }
 
+// Rest keeps calls away from the worker for a time.
+func (w *Worker) Rest(pause, now time.Duration) { w.pausedUntil.Store(int64(now + pause)) }
+
+// SetAiling notes whether the worker itself says that it is not well.
+func (w *Worker) SetAiling(ailing bool) { w.ailing.Store(ailing) }
+
+// Ailing tells whether the worker itself says that it is not well.
+func (w *Worker) Ailing() bool { return w.ailing.Load() }
+
 // Drain notes that the worker is leaving, by the platform's list or by its own
 // word.
 func (w *Worker) Drain(now time.Duration) {
@@ -246,7 +285,7 @@
 		return picker.Paused
 	case w.ejectedUntil.Load() > int64(now):
 		return picker.Ejected
-	case w.stalled(mean, now):
+	case w.ailing.Load(), w.stalled(mean, now):
 		return picker.Suspect
 	}
 	return picker.Usable
