--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -127,13 +127,11 @@
 	if err != nil {
 		return err
 	}
-	c.informer, err = informer.New(c.self(), c.publisher,
-		checker.New(c.sender, platform.HeaderWorker, platform.HeaderLoad), c.log)
-	if err != nil {
-		return err
-	}
 	c.follower = follower.New(c.store, platform.WatchedPrefix, c.learn, c.log)
-	return nil
+	c.informer, err = informer.New(c.self(), c.publisher,
+		checker.New(c.sender, platform.HeaderWorker, platform.HeaderLoad),
+		informer.NewNews(c.follower.Revision, c.follower.Behind), c.log)
+	return err
 }
 
 // learn puts what the store holds in force.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,6 +25,10 @@
 	// returnGrace is how long after an outage a missing key may come back: its
 	// writer may have been unable to renew its lease meanwhile.
 	returnGrace = 2 * time.Second
+	// newsPatience is how long a watch has to show what others know already.
+	newsPatience = 600 * time.Millisecond
+	// watchMost is how long keys are followed by watches alone.
+	watchMost = time.Hour
 )
 
 // Follower follows the keys with a prefix.
@@ -34,6 +38,8 @@
 	receive func([]storer.Pair)
 	log     zerolog.Logger
 	contact atomic.Int64
+	reached atomic.Int64 // The store's revision up to which the copy is known.
+	watch   atomic.Pointer[context.CancelFunc]
 
 	// The run goroutine alone uses what follows.
 	copied *Copy
@@ -66,6 +72,24 @@
 	return time.Unix(0, at)
 }
 
+// Revision returns the store's revision up to which the keys are known.
+func (f *Follower) Revision() int64 { return f.reached.Load() }
+
+// Behind tells that the store is known to have reached a revision. If the watch
+// does not show it soon, it is taken for dead, and the keys are read again.
+func (f *Follower) Behind(revision int64) {
+	watch := f.watch.Load()
+	if watch == nil || revision <= f.reached.Load() {
+		return
+	}
+	time.AfterFunc(newsPatience, func() {
+		if revision > f.reached.Load() && f.watch.CompareAndSwap(watch, nil) {
+			f.log.Warn().Int64("revision", revision).Int64("have", f.reached.Load()).Msg("watch shows nothing of a change that peers know")
+			(*watch)()
+		}
+	})
+}
+
 func (f *Follower) run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
@@ -112,14 +136,18 @@
 	f.regained()
 	f.copied.Replace(page.Pairs())
 	f.show()
-	watch := ctx
-	if due, ok := f.copied.Due(); ok {
-		var cancel context.CancelFunc
-		watch, cancel = context.WithDeadline(ctx, due)
-		defer cancel()
+	f.reached.Store(page.Revision())
+	due, ok := f.copied.Due()
+	if !ok {
+		due = time.Now().Add(watchMost)
 	}
+	watch, cancel := context.WithDeadline(ctx, due)
+	defer cancel()
+	f.watch.Store(&cancel)
 	err = storer.Watch(watch, f.store, f.prefix, page.Revision()+1, f.take)
-	if f.copied.Expire(time.Now()) {
+	f.watch.Store(nil)
+	if watch.Err() != nil {
+		f.copied.Expire(time.Now())
 		return nil
 	}
 	return err
@@ -142,6 +170,7 @@
 
 func (f *Follower) take(b storer.Batch) {
 	f.contact.Store(time.Now().UnixNano())
+	f.reached.Store(max(f.reached.Load(), b.Revision()))
 	if f.copied.Apply(b.Events()) {
 		f.show()
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -29,8 +30,10 @@
 	freshAge = period * 4 / 5
 	// peerSilence is how long a peer may be silent before its workers are
 	// checked by others.
-	peerSilence   = 6 * period
-	mostDatagram  = 8 << 10
+	peerSilence  = 6 * period
+	mostDatagram = 8 << 10
+	// farEvery periods a peer of another region is told how far the store is.
+	farEvery      = 10
 	regionalSteps = 1 // Of registrar.Place.Distance.
 )
 
@@ -39,11 +42,24 @@
 	receivedTotal = metrics.NewCounter("burdocklane_datagrams_received_total")
 )
 
+// News is where the store's revision is known from, and who is to be told when
+// a peer knows of a later one.
+type News struct {
+	revision func() int64
+	behind   func(int64)
+}
+
+// NewNews returns the source of the revision and the listener for later ones.
+func NewNews(revision func() int64, behind func(int64)) News {
+	return News{revision: revision, behind: behind}
+}
+
 // Informer makes checks and exchanges datagrams.
 type Informer struct {
 	self      registrar.Instance
 	hash      uint64
 	publisher *publisher.Publisher
+	news      News
 	checker   *checker.Checker
 	log       zerolog.Logger
 	socket    *net.UDPConn
@@ -55,7 +71,7 @@
 }
 
 // New opens the instance's port for datagrams and starts an Informer.
-func New(self registrar.Instance, p *publisher.Publisher, c *checker.Checker, log zerolog.Logger) (*Informer, error) {
+func New(self registrar.Instance, p *publisher.Publisher, c *checker.Checker, news News, log zerolog.Logger) (*Informer, error) {
 	address, err := net.ResolveUDPAddr("udp4", self.Peers())
 	if err != nil {
 		return nil, errors.Wrap(err, "address for datagrams")
@@ -66,7 +82,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Informer{
-		self: self, hash: xxhash.Sum64String(string(self.ID())), publisher: p, checker: c, log: log,
+		self: self, hash: xxhash.Sum64String(string(self.ID())), publisher: p, news: news, checker: c, log: log,
 		socket: socket, started: time.Now(), cancel: cancel,
 	}
 	i.view.Store(&view{})
@@ -87,7 +103,7 @@
 func (i *Informer) run(ctx context.Context) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -95,6 +111,9 @@
 			v := i.current()
 			i.check(ctx, v)
 			i.tell(v)
+			if turn%farEvery == 0 {
+				i.tellFar(v)
+			}
 		}
 	}
 }
@@ -196,12 +215,23 @@
 			records = append(records, r)
 		}
 	}
-	data, err := encode(i.hash, records)
+	i.send(records, v.peers...)
+}
+
+// tellFar tells a peer of another region how far the store is.
+func (i *Informer) tellFar(v *view) {
+	if len(v.far) > 0 {
+		i.send(nil, v.far[rand.IntN(len(v.far))])
+	}
+}
+
+func (i *Informer) send(records []record, peers ...peer) {
+	data, err := encode(i.hash, i.news.revision(), records)
 	if err != nil {
 		i.log.Error().Err(err).Msg("datagram could not be made")
 		return
 	}
-	for _, p := range v.peers {
+	for _, p := range peers {
 		if _, err := i.socket.WriteToUDP(data, p.address); err != nil {
 			i.log.Debug().Err(err).Msg("datagram could not be sent")
 			continue
@@ -222,12 +252,13 @@
 			continue
 		}
 		receivedTotal.Inc()
-		sender, records, err := decode(buffer[:n])
+		from, records, err := decode(buffer[:n])
 		if err != nil {
 			i.log.Debug().Err(err).Msg("datagram is not readable")
 			continue
 		}
-		i.hear(sender, records)
+		i.news.behind(from.Revision)
+		i.hear(from.Sender, records)
 	}
 }
 
--- a/informer/message.go
+++ b/informer/message.go
@@ -18,6 +18,8 @@
 	Version uint8
 	Count   uint8
 	Sender  uint64 // Hash of the sending instance's ID.
+	// Revision is the store's, up to which the sender knows the keys.
+	Revision int64
 }
 
 // record is a worker's report, or the word that it is away.
@@ -58,28 +60,28 @@
 	return tracker.NewReport(int32(r.Running), int32(r.Waiting), int32(r.Slots), float64(max(r.Percent, 1))/percent, at).Heard()
 }
 
-func encode(sender uint64, records []record) ([]byte, error) {
+func encode(sender uint64, revision int64, records []record) ([]byte, error) {
 	records = records[:min(len(records), mostCount)]
 	var b bytes.Buffer
-	if err := binary.Write(&b, binary.BigEndian, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender}); err != nil {
+	if err := binary.Write(&b, binary.BigEndian, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision}); err != nil {
 		return nil, err
 	}
 	err := binary.Write(&b, binary.BigEndian, records)
 	return b.Bytes(), err
 }
 
-func decode(data []byte) (uint64, []record, error) {
+func decode(data []byte) (header, []record, error) {
 	r := bytes.NewReader(data)
 	var h header
 	if err := binary.Read(r, binary.BigEndian, &h); err != nil {
-		return 0, nil, &DatagramError{reason: err.Error()}
+		return h, nil, &DatagramError{reason: err.Error()}
 	}
 	if h.Version != formatVersion {
-		return 0, nil, &DatagramError{reason: fmt.Sprintf("version %d", h.Version)}
+		return h, nil, &DatagramError{reason: fmt.Sprintf("version %d", h.Version)}
 	}
 	records := make([]record, h.Count)
 	if err := binary.Read(r, binary.BigEndian, records); err != nil {
-		return 0, nil, &DatagramError{reason: err.Error()}
+		return h, nil, &DatagramError{reason: err.Error()}
 	}
-	return h.Sender, records, nil
+	return h, records, nil
 }
--- a/informer/view.go
+++ b/informer/view.go
@@ -15,7 +15,8 @@
 	snapshot *publisher.Snapshot
 	targets  []*target
 	byHash   map[uint64]*target
-	peers    []peer
+	peers    []peer // Of the region.
+	far      []peer // Of other regions.
 }
 
 type peer struct {
@@ -44,12 +45,19 @@
 		}
 	}
 	for _, instance := range s.List().Instances() {
-		if instance.ID() == self.ID() || instance.Place().Region() != self.Place().Region() {
+		if instance.ID() == self.ID() {
 			continue
 		}
-		if address, err := net.ResolveUDPAddr("udp4", instance.Peers()); err == nil {
-			v.peers = append(v.peers, peer{hash: xxhash.Sum64String(string(instance.ID())), address: address})
+		address, err := net.ResolveUDPAddr("udp4", instance.Peers())
+		if err != nil {
+			continue
+		}
+		p := peer{hash: xxhash.Sum64String(string(instance.ID())), address: address}
+		if instance.Place().Region() == self.Place().Region() {
+			v.peers = append(v.peers, p)
+			continue
 		}
+		v.far = append(v.far, p)
 	}
 	return v
 }
