--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -108,7 +108,7 @@
 	c.asserter = asserter.New(c.log)
 	c.recorder = recorder.New(c.log.Level(zerolog.WarnLevel), recorder.WithBuffer(decisionsKept), recorder.WithRecent(recentKept))
 	c.publisher = publisher.New(c.self(),
-		publisher.WithPoolOptions(limiter.WithPolicy(picker.NewReportedLoad(0))),
+		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})),
 		publisher.WithRetries(publisher.NewRetries(budgetUse*c.settings.RetryShare(), budgetUse*c.settings.RetryExtra())))
 	c.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -123,8 +123,10 @@
 }
 
 func (r *run) ask() limiter.Ask {
-	return limiter.NewAsk(r.call.Class().Target().Latency(), r.call.Deadline(),
-		limiter.WithCaller(r.call.Caller()), limiter.WithAvoid(r.avoid...))
+	target := r.call.Class().Target().Latency()
+	return limiter.NewAsk(target, r.call.Deadline(),
+		limiter.WithCaller(r.call.Caller()), limiter.WithAvoid(r.avoid...)).
+		OnTimeUntil(r.call.Arrival().Add(target - linkAllowance))
 }
 
 // start begins an attempt with a granted slot.
@@ -182,6 +184,10 @@
 	}
 }
 
+// linkAllowance is the part of a target that is spent on the way between caller
+// and instance.
+const linkAllowance = 15 * time.Millisecond
+
 const leastServerError = 500
 
 // abandon ends an attempt whose answer is not passed on.
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -110,7 +110,7 @@
 	if h.closed {
 		return false
 	}
-	granted, ok := r.lane.Pool().TryAcquire(r.hedgeAsk())
+	granted, ok := r.lane.Pool().TryAcquire(r.ask().Hurried())
 	if !ok {
 		return false
 	}
@@ -123,16 +123,6 @@
 	return true
 }
 
-// hedgeAsk asks for a worker that can still meet the target, as long as it can
-// be met at all.
-func (r *run) hedgeAsk() limiter.Ask {
-	ask := r.ask()
-	if left := r.call.Class().Target().Latency() - time.Since(r.call.Arrival()); left > 0 {
-		ask = ask.Within(left)
-	}
-	return ask
-}
-
 // choose returns the first attempt if it was answered or was the only one, and
 // else the hedged one if that was.
 func (r *run) choose(h *hedge, first *attempt) *attempt {
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"burdocklane/checker"
-	"burdocklane/limiter"
 	"burdocklane/publisher"
 	"burdocklane/registrar"
-	"burdocklane/tracker"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 )
@@ -26,14 +23,18 @@
 const (
 	// period is how often a worker's load is to be learnt anew.
 	period = 50 * time.Millisecond
+	// turnTime is how often what is new is told.
+	turnTime = period / 2
 	// freshAge is the age up to which a report needs no check yet.
-	freshAge = period * 4 / 5
+	freshAge = period - turnTime/2
+	// quietMost is how long an instance that has nothing new to tell is silent.
+	quietMost = 2 * period
 	// peerSilence is how long a peer may be silent before its workers are
 	// checked by others.
 	peerSilence  = 6 * period
 	mostDatagram = 8 << 10
-	// farEvery periods a peer of another region is told how far the store is.
-	farEvery      = 10
+	// farEvery turns a peer of another region is told how far the store is.
+	farEvery      = 20
 	regionalSteps = 1 // Of registrar.Place.Distance.
 )
 
@@ -57,7 +58,7 @@
 // Informer makes checks and exchanges datagrams.
 type Informer struct {
 	self      registrar.Instance
-	hash      uint64
+	hash      uint32
 	publisher *publisher.Publisher
 	news      News
 	checker   *checker.Checker
@@ -65,7 +66,8 @@
 	socket    *net.UDPConn
 	started   time.Time
 	view      atomic.Pointer[view]
-	heard     sync.Map // From an instance's hash to *atomic.Int64, when it was last heard.
+	toldAt    time.Duration // Used by the run goroutine alone.
+	heard     sync.Map      // From an instance's hash to *atomic.Int64, when it was last heard.
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -82,7 +84,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Informer{
-		self: self, hash: xxhash.Sum64String(string(self.ID())), publisher: p, news: news, checker: c, log: log,
+		self: self, hash: hashOf(string(self.ID())), publisher: p, news: news, checker: c, log: log,
 		socket: socket, started: time.Now(), cancel: cancel,
 	}
 	i.view.Store(&view{})
@@ -101,7 +103,7 @@
 func (i *Informer) now() time.Duration { return time.Since(i.started) }
 
 func (i *Informer) run(ctx context.Context) {
-	ticker := time.NewTicker(period)
+	ticker := time.NewTicker(turnTime)
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
 		select {
@@ -144,30 +146,41 @@
 	}
 }
 
-// live returns the peers that have been heard of late.
-func (i *Informer) live(v *view) []uint64 {
+// live returns this instance and the peers that have been heard of late.
+func (i *Informer) live(v *view) []peer {
 	oldest := int64(i.now() - peerSilence)
-	live := make([]uint64, 0, len(v.peers)+1)
-	live = append(live, i.hash)
+	live := make([]peer, 0, len(v.peers)+1)
+	live = append(live, peer{hash: i.hash, zone: i.self.Place().Zone()})
 	for _, p := range v.peers {
 		if at, ok := i.heard.Load(p.hash); ok && at.(*atomic.Int64).Load() > oldest {
-			live = append(live, p.hash)
+			live = append(live, p)
 		}
 	}
 	return live
 }
 
-// mine tells whether the worker falls to this instance, by the highest hash.
-func (i *Informer) mine(t *target, live []uint64) bool {
-	own := mix(t.hash ^ i.hash)
-	for _, peer := range live {
-		if mix(t.hash^peer) > own {
-			return false
+// mine tells whether the worker falls to this instance: to the one with the
+// highest hash in the worker's availability zone, or in the region if the zone
+// has none.
+func (i *Informer) mine(t *target, live []peer) bool {
+	zone := t.worker.Member().Place().Zone()
+	var best uint64
+	var owner uint32
+	for _, p := range live {
+		score := mix(uint64(t.hash)<<32|uint64(p.hash)) >> 1
+		if p.zone == zone {
+			score |= nearBit
+		}
+		if score >= best {
+			best, owner = score, p.hash
 		}
 	}
-	return true
+	return owner == i.hash
 }
 
+// nearBit puts an instance of the worker's own zone before all others.
+const nearBit = 1 << 63
+
 // mix spreads the bits of a hash (Steele, Lea and Flood, "Fast Splittable
 // Pseudorandom Number Generators", 2014).
 func mix(x uint64) uint64 {
@@ -199,7 +212,7 @@
 		return
 	}
 	if load, ok := reading.Load(); ok {
-		t.worker.Reported(load.Report(t.pool.Now()))
+		t.pool.Reported(t.worker, load.Report(t.pool.Now()))
 	}
 }
 
@@ -215,6 +228,10 @@
 			records = append(records, r)
 		}
 	}
+	if len(records) == 0 && i.now()-i.toldAt < quietMost {
+		return
+	}
+	i.toldAt = i.now()
 	i.send(records, v.peers...)
 }
 
@@ -262,7 +279,7 @@
 	}
 }
 
-func (i *Informer) hear(sender uint64, records []record) {
+func (i *Informer) hear(sender uint32, records []record) {
 	at, ok := i.heard.Load(sender)
 	if !ok {
 		at, _ = i.heard.LoadOrStore(sender, &atomic.Int64{})
@@ -271,51 +288,7 @@
 	v := i.view.Load()
 	for _, r := range records {
 		if t := v.byHash[r.Worker]; t != nil {
-			t.hear(r)
+			t.hear(sender, r)
 		}
 	}
 }
-
-// target is a worker of the region.
-type target struct {
-	worker *tracker.Worker
-	pool   *limiter.Pool
-	path   string
-	hash   uint64
-	state  *state
-}
-
-// state is what outlives a change of the snapshot.
-type state struct {
-	busy atomic.Bool  // A check is under way.
-	away atomic.Bool  // The last check had no answer, which is still to be told.
-	told atomic.Int64 // The time of the last report that was told.
-}
-
-// news returns what is new of the worker, if this instance learnt it itself.
-func (t *target) news() (record, bool) {
-	if t.state.away.Swap(false) {
-		return record{Worker: t.hash, Flags: flagAway}, true
-	}
-	report, ok := t.worker.Report()
-	if !ok || report.IsHeard() || int64(report.At()) <= t.state.told.Load() {
-		return record{}, false
-	}
-	t.state.told.Store(int64(report.At()))
-	r := newRecord(t.hash, report, t.pool.Now())
-	if t.worker.Ailing() {
-		r.Flags |= flagAil
-	}
-	return r, true
-}
-
-// hear takes over a peer's word.
-func (t *target) hear(r record) {
-	if r.Flags&flagAway != 0 {
-		t.pool.Away(t.worker)
-		return
-	}
-	if t.worker.Reported(r.report(t.pool.Now())) {
-		t.worker.SetAiling(r.Flags&flagAil != 0)
-	}
-}
--- a/informer/message.go
+++ b/informer/message.go
@@ -17,27 +17,30 @@
 type header struct {
 	Version uint8
 	Count   uint8
-	Sender  uint64 // Hash of the sending instance's ID.
+	Sender  uint32 // Hash of the sending instance's ID.
 	// Revision is the store's, up to which the sender knows the keys.
 	Revision int64
 }
 
-// record is a worker's report, or the word that it is away.
+// record is a worker's report, or the word that it is away, with the sender's
+// own calls there.
 type record struct {
-	Worker  uint64 // Hash of the worker's ID and address.
-	Running uint16
-	Waiting uint16
-	Slots   uint16
+	Worker  uint32 // Hash of the worker's ID and address.
+	Flags   uint8
+	Calls   uint8 // The sender's.
+	Running uint8
+	Waiting uint8
+	Slots   uint8
+	AgeMs   uint8
 	Percent uint16 // Pace.
-	AgeMs   uint16
-	Flags   uint16
 }
 
 const (
-	flagAway  = 1 << 0
-	flagAil   = 1 << 1
-	percent   = 100
-	mostCount = math.MaxUint8
+	flagAway   = 1 << 0 // The worker did not answer.
+	flagAil    = 1 << 1 // The worker says that it is not well.
+	flagReport = 1 << 2 // The record has a report.
+	percent    = 100
+	mostCount  = math.MaxUint8
 )
 
 // DatagramError reports a datagram that cannot be read.
@@ -46,13 +49,13 @@
 // Error implements error.
 func (e *DatagramError) Error() string { return fmt.Sprintf("datagram: %s", e.reason) }
 
-func small[T int32 | int64](v T) uint16 { return uint16(min(max(int64(v), 0), math.MaxUint16)) }
+func small[T int32 | int64](v T) uint8 { return uint8(min(max(int64(v), 0), math.MaxUint8)) }
 
-func newRecord(worker uint64, r tracker.Report, now time.Duration) record {
-	return record{
-		Worker: worker, Running: small(r.Running()), Waiting: small(r.Waiting()), Slots: small(r.Slots()),
-		Percent: small(int64(r.Pace() * percent)), AgeMs: small((now - r.At()).Milliseconds()),
-	}
+func (r *record) setReport(report tracker.Report, now time.Duration) {
+	r.Flags |= flagReport
+	r.Running, r.Waiting, r.Slots = small(report.Running()), small(report.Waiting()), small(report.Slots())
+	r.Percent = uint16(min(report.Pace()*percent, math.MaxUint16))
+	r.AgeMs = small((now - report.At()).Milliseconds())
 }
 
 func (r record) report(now time.Duration) tracker.Report {
@@ -60,7 +63,7 @@
 	return tracker.NewReport(int32(r.Running), int32(r.Waiting), int32(r.Slots), float64(max(r.Percent, 1))/percent, at).Heard()
 }
 
-func encode(sender uint64, revision int64, records []record) ([]byte, error) {
+func encode(sender uint32, revision int64, records []record) ([]byte, error) {
 	records = records[:min(len(records), mostCount)]
 	var b bytes.Buffer
 	if err := binary.Write(&b, binary.BigEndian, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision}); err != nil {
--- /dev/null
+++ b/informer/target.go
@@ -0,0 +1,58 @@
+package informer
+
+import (
+	"sync/atomic"
+
+	"burdocklane/limiter"
+	"burdocklane/tracker"
+)
+
+// target is a worker of the region.
+type target struct {
+	worker *tracker.Worker
+	pool   *limiter.Pool
+	path   string
+	hash   uint32
+	state  *state
+}
+
+// state is what outlives a change of the snapshot.
+type state struct {
+	busy  atomic.Bool  // A check is under way.
+	away  atomic.Bool  // The last check had no answer, which is still to be told.
+	told  atomic.Int64 // The time of the last report that was told.
+	calls atomic.Int32 // The calls that were last told.
+}
+
+// news returns what is new of the worker, if this instance learnt it itself.
+func (t *target) news() (record, bool) {
+	calls := t.worker.InFlight()
+	r := record{Worker: t.hash, Calls: small(calls)}
+	fresh := t.state.calls.Swap(calls) != calls
+	if t.state.away.Swap(false) {
+		r.Flags |= flagAway
+		return r, true
+	}
+	report, ok := t.worker.Report()
+	if ok && !report.IsHeard() && int64(report.At()) > t.state.told.Load() {
+		t.state.told.Store(int64(report.At()))
+		r.setReport(report, t.pool.Now())
+		fresh = true
+	}
+	if t.worker.Ailing() {
+		r.Flags |= flagAil
+	}
+	return r, fresh
+}
+
+// hear takes over a peer's word.
+func (t *target) hear(sender uint32, r record) {
+	t.worker.HearCalls(sender, int32(r.Calls), t.pool.Now())
+	if r.Flags&flagAway != 0 {
+		t.pool.Away(t.worker)
+		return
+	}
+	if r.Flags&flagReport != 0 && t.pool.Reported(t.worker, r.report(t.pool.Now())) {
+		t.worker.SetAiling(r.Flags&flagAil != 0)
+	}
+}
--- a/informer/view.go
+++ b/informer/view.go
@@ -14,19 +14,20 @@
 type view struct {
 	snapshot *publisher.Snapshot
 	targets  []*target
-	byHash   map[uint64]*target
+	byHash   map[uint32]*target
 	peers    []peer // Of the region.
 	far      []peer // Of other regions.
 }
 
 type peer struct {
-	hash    uint64
+	hash    uint32
+	zone    string
 	address *net.UDPAddr
 }
 
 // newView keeps the state of targets that stay.
 func newView(s *publisher.Snapshot, self registrar.Instance, old *view) *view {
-	v := &view{snapshot: s, byHash: map[uint64]*target{}}
+	v := &view{snapshot: s, byHash: map[uint32]*target{}}
 	for _, service := range s.Deployment().Services() {
 		lane := s.Lane(service.Name())
 		if lane == nil {
@@ -36,7 +37,7 @@
 			if w.Distance() > regionalSteps || w.Member().Leaving() {
 				continue
 			}
-			t := &target{worker: w, pool: lane.Pool(), path: service.HealthPath(), hash: hashOf(w.Member()), state: &state{}}
+			t := &target{worker: w, pool: lane.Pool(), path: service.HealthPath(), hash: hashOf(string(w.ID()) + "@" + w.Address()), state: &state{}}
 			if before := old.byHash[t.hash]; before != nil {
 				t.state = before.state
 			}
@@ -52,7 +53,7 @@
 		if err != nil {
 			continue
 		}
-		p := peer{hash: xxhash.Sum64String(string(instance.ID())), address: address}
+		p := peer{hash: hashOf(string(instance.ID())), zone: instance.Place().Zone(), address: address}
 		if instance.Place().Region() == self.Place().Region() {
 			v.peers = append(v.peers, p)
 			continue
@@ -62,6 +63,4 @@
 	return v
 }
 
-func hashOf(w registrar.Worker) uint64 {
-	return xxhash.Sum64String(string(w.ID()) + "@" + w.Address())
-}
+func hashOf(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -29,7 +29,7 @@
 	deadline time.Time
 	avoid    []registrar.WorkerID
 	lending  bool
-	within   time.Duration
+	onTime   time.Time
 }
 
 // AskOption sets one property of an Ask.
@@ -57,10 +57,18 @@
 	return a
 }
 
-// Within returns a that turns down workers that are expected to take longer,
-// where the policy knows what to expect.
-func (a Ask) Within(d time.Duration) Ask {
-	a.within = d
+// OnTimeUntil returns a of a call that is on time if it is answered by then.
+func (a Ask) OnTimeUntil(at time.Time) Ask {
+	a.onTime = at
+	return a
+}
+
+// Hurried returns a without use after it would be late, if that is still to
+// come.
+func (a Ask) Hurried() Ask {
+	if time.Until(a.onTime) > 0 {
+		a.deadline = a.onTime
+	}
 	return a
 }
 
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -200,7 +200,7 @@
 	p.far.Deposit()
 	var seen Seen
 	if p.reported() {
-		return p.acquireReported(&ask)
+		return p.acquireReported(ctx, ask, since)
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		worker, decision := p.try(p.policy, &ask, &seen)
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"context"
 	"time"
 
 	"burdocklane/picker"
@@ -11,6 +12,9 @@
 	// calmGuess is the share of a class's target that a call is taken to need
 	// before any has been answered.
 	calmGuess = 0.35
+	// roomShare is the part of a class's target that a call waits for room: a
+	// refusal after that still leaves the caller time to come back.
+	roomShare = 0.125
 	// shedPause is how long a worker that declined a call without naming a time
 	// is left alone.
 	shedPause = 100 * time.Millisecond
@@ -26,28 +30,63 @@
 }
 
 // acquireReported grants a slot at the worker that is expected to answer first.
-// A call that no worker can answer in time is refused at once.
-func (p *Pool) acquireReported(ask *Ask) Admission {
+// If there is no room anywhere, the call waits a little for some, and is then
+// refused.
+func (p *Pool) acquireReported(ctx context.Context, ask Ask, since time.Time) Admission {
 	var seen Seen
-	worker, decision := p.try(p.policyFor(ask), ask, &seen)
-	switch decision.(type) {
-	case picker.Send:
-		return Granted{pool: p, worker: worker, seen: seen}
-	case picker.Wait:
-		return Refused{reason: ReasonOverload, seen: seen}
+	if p.waiting.Load() == 0 {
+		worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
+		switch decision.(type) {
+		case picker.Send:
+			return Granted{pool: p, worker: worker, seen: seen}
+		case picker.Refuse:
+			return Refused{reason: ReasonNoWorker, seen: seen}
+		case picker.Wait:
+		}
+	}
+	return p.waitForRoom(ctx, ask, since, seen)
+}
+
+func (p *Pool) waitForRoom(ctx context.Context, ask Ask, since time.Time, seen Seen) Admission {
+	w := &waiter{ask: ask, since: since, ready: make(chan Granted, 1)}
+	p.mutex.Lock()
+	full := p.queue.own() >= p.queueLimit
+	if !full {
+		p.queue.add(w, 0)
+		p.waiting.Add(1)
+	}
+	p.mutex.Unlock()
+	if full {
+		return Refused{reason: ReasonQueueFull, seen: seen}
+	}
+	p.dispatch()
+	patience := time.NewTimer(time.Duration(roomShare * float64(ask.target)))
+	defer patience.Stop()
+	select {
+	case granted := <-w.ready:
+		return p.granted(granted, since, seen)
+	case <-ctx.Done():
+		return p.leave(w, ReasonCancelled, since, seen)
+	case <-patience.C:
+		return p.leave(w, ReasonOverload, since, seen)
 	}
-	return Refused{reason: ReasonNoWorker, seen: seen}
 }
 
 func (p *Pool) policyFor(ask *Ask) picker.Policy {
 	if !p.reported() {
 		return p.policy
 	}
-	within := time.Until(ask.deadline)
-	if ask.within > 0 {
-		within = min(within, ask.within)
+	return picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
+}
+
+// Reported takes over a worker's report, and looks whether a waiting call can go
+// there.
+func (p *Pool) Reported(w *tracker.Worker, r tracker.Report) bool {
+	taken := w.Reported(r)
+	if taken {
+		p.dispatch()
 	}
-	return picker.NewReportedLoad(max(within, 1))
+	return taken
 }
 
 // Calm returns the time that a call takes at a worker that nothing holds up, by
@@ -64,7 +103,7 @@
 	if !p.reported() {
 		return c
 	}
-	return c.Expecting(w.Load(now).Estimate(p.Calm(ask.target)))
+	return c.Loaded(w.Load(now), p.Calm(ask.target))
 }
 
 // observeCalm adds an answer to the mean latency at the usual pace.
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -115,7 +115,7 @@
 		if head == nil {
 			return
 		}
-		worker, decision := p.try(p.policy, &head.ask, &seen)
+		worker, decision := p.try(p.policyFor(&head.ask), &head.ask, &seen)
 		if _, ok := decision.(picker.Send); ok {
 			p.hand(head, Granted{pool: p, worker: worker})
 			continue
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if pool, found := h.find(call, worker); found != nil {
-		found.Reported(load.Report(pool.Now()))
+		pool.Reported(found, load.Report(pool.Now()))
 	}
 }
 
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -53,6 +53,7 @@
 	distance uint8
 	state    State
 	avoid    bool
+	crowded  bool
 	remote   int32
 }
 
@@ -110,9 +111,9 @@
 	return c
 }
 
-// Expecting returns c with another expected latency.
-func (c Candidate) Expecting(latency time.Duration) Candidate {
-	c.latency = int64(latency)
+// Loaded returns c with the latency to expect by the worker's load.
+func (c Candidate) Loaded(l Load, base time.Duration) Candidate {
+	c.latency, c.crowded = int64(l.Estimate(base)), l.Crowded()
 	return c
 }
 
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -29,6 +29,7 @@
 	pace    float64
 	age     time.Duration
 	since   int32
+	seen    int32
 	cold    bool
 }
 
@@ -49,6 +50,13 @@
 	return l
 }
 
+// Seen returns l with the calls that the instances know to be at the worker,
+// whatever it reports itself.
+func (l Load) Seen(calls int32) Load {
+	l.seen = calls
+	return l
+}
+
 // Cold returns l of a worker that has just started.
 func (l Load) Cold(cold bool) Load {
 	l.cold = cold
@@ -61,18 +69,26 @@
 	return usualPace + weight*(l.pace-usualPace)
 }
 
+// calls returns how many calls one more would make, by the worker's report and
+// what was sent since, or by what the instances know of each other.
+func (l Load) calls() float64 {
+	return float64(max(l.running+l.waiting+l.since, l.seen, 0) + 1)
+}
+
+// Crowded tells whether one more call would slow the worker down.
+func (l Load) Crowded() bool { return l.calls() > crowdedShare*float64(max(l.slots, 1)) }
+
 // Estimate returns how long a call takes at the worker that takes base when
 // nothing holds it up: its pace, and its turn if the slots are taken.
 func (l Load) Estimate(base time.Duration) time.Duration {
 	slots := float64(max(l.slots, 1))
-	calls := float64(max(l.running+l.waiting+l.since, 0) + 1)
 	each := float64(base) * l.Pace()
 	if l.cold {
 		each *= coldFactor
 	}
-	if calls > crowdedShare*slots {
+	if l.Crowded() {
 		each *= crowdedFactor
 	}
-	wait := max(calls-slots, 0) / slots * each
+	wait := max(l.calls()-slots, 0) / slots * each
 	return time.Duration(each + wait)
 }
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -42,12 +42,18 @@
 
 // ReportedLoad sends to the worker that is expected to answer first by what the
 // workers report of their load, with a toll for those farther away. Candidates
-// come with that expectation as their latency.
-type ReportedLoad struct{ most time.Duration }
+// come with that expectation as their latency. Calls that could only be late,
+// for want of room and not of speed, wait.
+type ReportedLoad struct {
+	onTime time.Duration
+	most   time.Duration
+}
 
-// NewReportedLoad returns the policy; workers that are expected to take longer
-// than most are left out, 0 for no bound.
-func NewReportedLoad(most time.Duration) ReportedLoad { return ReportedLoad{most: most} }
+// NewReportedLoad returns the policy for a call that is on time within onTime
+// and of no use after most.
+func NewReportedLoad(onTime, most time.Duration) ReportedLoad {
+	return ReportedLoad{onTime: onTime, most: most}
+}
 
 func (ReportedLoad) policy()  {}
 func (Random) policy()        {}
@@ -85,7 +91,7 @@
 	case Overflow:
 		return pickOverflow(candidates, p.far, rng)
 	case ReportedLoad:
-		return pickReported(candidates, p.most, rng)
+		return pickReported(candidates, p, rng)
 	}
 	return Refuse{}
 }
@@ -263,8 +269,8 @@
 	spread = 0.1
 	// zoneToll and regionToll are the time that a worker in another zone or
 	// region has to save to be worth the way there and the traffic.
-	zoneToll   = 8 * time.Millisecond
-	regionToll = 56 * time.Millisecond
+	zoneToll   = 15 * time.Millisecond
+	regionToll = 60 * time.Millisecond
 	// suspectToll is the time that a suspect worker has to save.
 	suspectToll = 100 * time.Millisecond
 )
@@ -280,26 +286,40 @@
 	return int64(zoneToll)
 }
 
-// pickReported leaves out workers that an earlier attempt was sent to.
-func pickReported(candidates []Candidate, most time.Duration, rng *rand.Rand) Decision {
-	best, usable := newLeast(), false
+// pickReported takes the best worker with room that answers on time, or one that
+// is crowded and still on time, or one that has room and is late: it is slow for
+// reasons of its own, and takes nobody's turn. It leaves out workers that an
+// earlier attempt was sent to.
+func pickReported(candidates []Candidate, p ReportedLoad, rng *rand.Rand) Decision {
+	roomy, crowded, late, usable := newLeast(), newLeast(), newLeast(), false
 	for i := range candidates {
 		c := &candidates[i]
 		if !routable(c.state) || c.avoid {
 			continue
 		}
 		usable = true
-		if most > 0 && c.latency > int64(most) {
-			continue
+		score := c.reportedScore(rng)
+		switch {
+		case c.latency > int64(p.most):
+		case c.latency <= int64(p.onTime) && !c.crowded:
+			roomy.offer(i, score, rng)
+		case c.latency <= int64(p.onTime):
+			crowded.offer(i, score, rng)
+		case !c.crowded:
+			late.offer(i, score, rng)
 		}
-		varied := float64(c.latency) * (1 + spread*rng.Float64())
-		if c.state == Suspect {
-			varied += float64(suspectToll)
-		}
-		best.offer(i, int64(varied)+c.toll(), rng)
 	}
-	if usable {
-		return best.or(Wait{})
+	if !usable {
+		return Refuse{}
 	}
-	return Refuse{}
+	return roomy.or(crowded.or(late.or(Wait{})))
+}
+
+// reportedScore is the expected latency, varied and with the tolls.
+func (c *Candidate) reportedScore(rng *rand.Rand) int64 {
+	varied := float64(c.latency) * (1 + spread*rng.Float64())
+	if c.state == Suspect {
+		varied += float64(suspectToll)
+	}
+	return int64(varied) + c.toll()
 }
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -33,19 +33,33 @@
 // watch passes each poll's batch on, also an empty one, as a sign of life.
 func (r *Remote) watch(ctx context.Context, prefix string, from int64, receive func(Batch)) error {
 	after := from - 1
+	pause := r.pause
 	for {
+		asked := time.Now()
 		batch, err := r.protocol.Poll(ctx, prefix, after)
 		if err != nil {
 			return err
 		}
 		receive(batch)
 		after = max(after, batch.Revision())
-		if len(batch.Events()) > 0 && !sleeper.Sleep(ctx, r.pause) {
+		pause = r.nextPause(pause, time.Since(asked))
+		if len(batch.Events()) > 0 && !sleeper.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
+// pauseGrowth times the first pause is the longest.
+const pauseGrowth = 4
+
+// nextPause doubles the pause while changes come without an end.
+func (r *Remote) nextPause(last, waited time.Duration) time.Duration {
+	if waited > last {
+		return r.pause
+	}
+	return min(2*last, pauseGrowth*r.pause)
+}
+
 // Compare is a condition of a transaction: the key was last changed at the
 // revision, or does not exist if that is 0.
 type Compare struct {
--- a/tracker/report.go
+++ b/tracker/report.go
@@ -85,12 +85,13 @@
 // Load returns what is known of the worker's load.
 func (w *Worker) Load(now time.Duration) picker.Load {
 	cold := now < time.Duration(w.coldUntil.Load())
+	seen := w.inFlight.Load() + w.peersCalls(now)
 	r := w.report.Load()
 	if r == nil {
-		return picker.UnknownLoad(int32(w.Member().Slots())).Since(w.inFlight.Load()).Cold(cold)
+		return picker.UnknownLoad(int32(w.Member().Slots())).Seen(seen).Cold(cold)
 	}
 	since := int32(w.begun.Load() - r.begun)
-	return picker.NewLoad(r.running, r.waiting, r.slots, r.pace, max(now-r.at, 0)).Since(since).Cold(cold)
+	return picker.NewLoad(r.running, r.waiting, r.slots, r.pace, max(now-r.at, 0)).Since(since).Seen(seen).Cold(cold)
 }
 
 // ColdUntil notes until when the worker is slow because it has just started.
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -63,6 +63,7 @@
 	begun        atomic.Int64 // Calls ever sent.
 	errors       atomic.Int64 // Moving share of failed calls, in millionths.
 	report       atomic.Pointer[Report]
+	peers        atomic.Pointer[[]peerCalls]
 }
 
 // NewWorker returns the state of a worker that has not been used. If cold, its
