--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -106,7 +106,7 @@
 // layCalls puts the filters of a call in a row.
 func (c *Conductor) layCalls() {
 	c.asserter = asserter.New(c.log)
-	c.recorder = recorder.New(c.log.Level(zerolog.WarnLevel), recorder.WithBuffer(decisionsKept), recorder.WithRecent(recentKept))
+	c.recorder = recorder.New(c.log, recorder.WithBuffer(decisionsKept), recorder.WithRecent(recentKept))
 	c.publisher = publisher.New(c.self(),
 		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})),
 		publisher.WithRetries(publisher.NewRetries(budgetUse*c.settings.RetryShare(), budgetUse*c.settings.RetryExtra())))
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"burdocklane/picker"
 	"burdocklane/registrar"
 	"burdocklane/tracker"
 )
@@ -30,6 +31,7 @@
 	avoid    []registrar.WorkerID
 	lending  bool
 	onTime   time.Time
+	spare    bool
 }
 
 // AskOption sets one property of an Ask.
@@ -63,12 +65,13 @@
 	return a
 }
 
-// Hurried returns a without use after it would be late, if that is still to
-// come.
+// Hurried returns a that takes nobody's room, without use after it would be
+// late, if that is still to come.
 func (a Ask) Hurried() Ask {
 	if time.Until(a.onTime) > 0 {
 		a.deadline = a.onTime
 	}
+	a.spare = true
 	return a
 }
 
@@ -89,6 +92,7 @@
 	pool   *Pool
 	worker *tracker.Worker
 	loan   *Loan
+	target time.Duration
 	waited time.Duration
 	seen   Seen
 	// overflow marks a slot beyond the instance's own.
@@ -139,10 +143,16 @@
 	free     int32
 	queued   int32
 	inFlight int32
+	chosen   picker.Load // What was known of the chosen worker, if it reports.
+	expected time.Duration
 }
 
 // String returns the counts in a fixed form for logs and explain.
 func (s Seen) String() string {
-	return fmt.Sprintf("total=%d usable=%d free=%d in-flight=%d queued=%d",
+	counts := fmt.Sprintf("total=%d usable=%d free=%d in-flight=%d queued=%d",
 		s.total, s.usable, s.free, s.inFlight, s.queued)
+	if s.expected == 0 {
+		return counts
+	}
+	return fmt.Sprintf("%s %s expected=%s", counts, s.chosen, s.expected.Round(time.Millisecond))
 }
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -60,7 +60,7 @@
 	roster  atomic.Pointer[roster]
 	turn    atomic.Uint64
 	mean    atomic.Int64
-	calm    atomic.Int64            // Mean latency at the usual pace.
+	calm    sync.Map                // From a class's target to its *atomic.Int64, the mean latency at the usual pace.
 	near    [distances]atomic.Int64 // Mean latency by distance.
 	far     *budgeter.Share
 	waiting atomic.Int32
@@ -242,6 +242,7 @@
 			return nil, decision
 		}
 		worker := workers[send.Index()]
+		p.noteChosen(seen, worker, candidates[send.Index()], now)
 		if !picker.Bounded(policy) { // Overflow is bounded by what the picker saw.
 			worker.Acquire(now)
 			p.noteHeld(1)
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -17,7 +17,7 @@
 	var seen Seen
 	worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
 	if _, ok := decision.(picker.Send); ok && !ask.avoids(worker.ID()) {
-		return Granted{pool: p, worker: worker, seen: seen}, true
+		return Granted{pool: p, worker: worker, target: ask.target, seen: seen}, true
 	} else if ok {
 		p.giveBack(worker)
 	}
@@ -37,7 +37,7 @@
 	}
 	g.worker.Succeeded(latency, p.Now())
 	p.observe(latency, g.worker.Distance())
-	p.observeCalm(g.worker, latency)
+	p.observeCalm(g, latency)
 }
 
 // Failed notes that the worker failed a call.
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"burdocklane/picker"
@@ -38,7 +39,7 @@
 		worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
 		switch decision.(type) {
 		case picker.Send:
-			return Granted{pool: p, worker: worker, seen: seen}
+			return Granted{pool: p, worker: worker, target: ask.target, seen: seen}
 		case picker.Refuse:
 			return Refused{reason: ReasonNoWorker, seen: seen}
 		case picker.Wait:
@@ -76,7 +77,11 @@
 	if !p.reported() {
 		return p.policy
 	}
-	return picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
+	policy := picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
+	if ask.spare {
+		return policy.Roomy()
+	}
+	return policy
 }
 
 // Reported takes over a worker's report, and looks whether a waiting call can go
@@ -92,8 +97,8 @@
 // Calm returns the time that a call takes at a worker that nothing holds up, by
 // what was observed, or guessed from the class's target.
 func (p *Pool) Calm(target time.Duration) time.Duration {
-	if calm := p.calm.Load(); calm > 0 {
-		return time.Duration(calm)
+	if calm, ok := p.calm.Load(target); ok {
+		return time.Duration(calm.(*atomic.Int64).Load())
 	}
 	return time.Duration(calmGuess * float64(target))
 }
@@ -106,13 +111,17 @@
 	return c.Loaded(w.Load(now), p.Calm(ask.target))
 }
 
-// observeCalm adds an answer to the mean latency at the usual pace.
-func (p *Pool) observeCalm(w *tracker.Worker, latency time.Duration) {
+// observeCalm adds an answer to a class's mean latency at the usual pace.
+func (p *Pool) observeCalm(g Granted, latency time.Duration) {
 	if !p.reported() {
 		return
 	}
-	pace := max(w.Load(p.Now()).Pace(), 1)
-	average(&p.calm, time.Duration(float64(latency)/pace))
+	calm, ok := p.calm.Load(g.target)
+	if !ok {
+		calm, _ = p.calm.LoadOrStore(g.target, &atomic.Int64{})
+	}
+	pace := max(g.worker.Load(p.Now()).Pace(), 1)
+	average(calm.(*atomic.Int64), time.Duration(float64(latency)/pace))
 }
 
 // Outlook returns the time that a call usually takes and the pace to expect of
@@ -127,3 +136,10 @@
 // Away notes that the worker did not answer a status check, or took no
 // connection: nothing is sent there for a while.
 func (p *Pool) Away(w *tracker.Worker) { w.Rest(awayPause, p.Now()) }
+
+// noteChosen keeps what a decision was made from, for the log.
+func (p *Pool) noteChosen(seen *Seen, w *tracker.Worker, c picker.Candidate, now time.Duration) {
+	if p.reported() {
+		seen.chosen, seen.expected = w.Load(now), time.Duration(c.Latency())
+	}
+}
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"fmt"
 	"math"
 	"time"
 )
@@ -18,6 +19,8 @@
 	crowdedFactor = 1.7
 	// coldFactor is how much slower a worker is that has just started.
 	coldFactor = 2.0
+	// longestAge is the age that logs show of a report that there is none of.
+	longestAge = time.Hour
 )
 
 // Load is what is known of a worker's load: its own report, how old it is, and
@@ -63,6 +66,12 @@
 	return l
 }
 
+// String returns what is known, for logs.
+func (l Load) String() string {
+	return fmt.Sprintf("running=%d waiting=%d slots=%d pace=%.2f age=%s since=%d seen=%d",
+		l.running, l.waiting, l.slots, l.pace, min(l.age, longestAge).Round(time.Millisecond), l.since, l.seen)
+}
+
 // Pace returns the pace to expect now: what was reported, fading to the usual.
 func (l Load) Pace() float64 {
 	weight := math.Exp(-float64(l.age) / float64(paceMemory))
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -47,6 +47,7 @@
 type ReportedLoad struct {
 	onTime time.Duration
 	most   time.Duration
+	roomy  bool
 }
 
 // NewReportedLoad returns the policy for a call that is on time within onTime
@@ -270,7 +271,7 @@
 	// zoneToll and regionToll are the time that a worker in another zone or
 	// region has to save to be worth the way there and the traffic.
 	zoneToll   = 15 * time.Millisecond
-	regionToll = 60 * time.Millisecond
+	regionToll = 120 * time.Millisecond
 	// suspectToll is the time that a suspect worker has to save.
 	suspectToll = 100 * time.Millisecond
 )
@@ -286,6 +287,12 @@
 	return int64(zoneToll)
 }
 
+// Roomy returns p without workers that are crowded.
+func (p ReportedLoad) Roomy() ReportedLoad {
+	p.roomy = true
+	return p
+}
+
 // pickReported takes the best worker with room that answers on time, or one that
 // is crowded and still on time, or one that has room and is late: it is slow for
 // reasons of its own, and takes nobody's turn. It leaves out workers that an
@@ -300,7 +307,7 @@
 		usable = true
 		score := c.reportedScore(rng)
 		switch {
-		case c.latency > int64(p.most):
+		case c.latency > int64(p.most), p.roomy && c.crowded:
 		case c.latency <= int64(p.onTime) && !c.crowded:
 			roomy.offer(i, score, rng)
 		case c.latency <= int64(p.onTime):
--- a/retrier/hedge.go
+++ b/retrier/hedge.go
@@ -15,7 +15,7 @@
 	// reports a good pace.
 	lateFactor = 1.7
 	// lookAgain is how long after a look at a worker's pace the next one is due.
-	lookAgain = 25 * time.Millisecond
+	lookAgain = 15 * time.Millisecond
 )
 
 // HedgeStep says when a second attempt starts beside the first: Hedge or Later.
