--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -111,17 +111,17 @@
 	return c.Loaded(w.Load(now), p.Calm(ask.target))
 }
 
-// observeCalm adds an answer to a class's mean latency at the usual pace.
+// observeCalm adds an answer to a class's mean latency at a worker that nothing
+// holds up. Answers of other workers tell nothing of it.
 func (p *Pool) observeCalm(g Granted, latency time.Duration) {
-	if !p.reported() {
+	if !p.reported() || !g.seen.chosen.Calm() || !g.worker.Load(p.Now()).AtPace() {
 		return
 	}
 	calm, ok := p.calm.Load(g.target)
 	if !ok {
 		calm, _ = p.calm.LoadOrStore(g.target, &atomic.Int64{})
 	}
-	pace := max(g.worker.Load(p.Now()).Pace(), 1)
-	average(calm.(*atomic.Int64), time.Duration(float64(latency)/pace))
+	average(calm.(*atomic.Int64), latency)
 }
 
 // Outlook returns the time that a call usually takes and the pace to expect of
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -54,6 +54,7 @@
 	state    State
 	avoid    bool
 	crowded  bool
+	full     bool
 	remote   int32
 }
 
@@ -113,7 +114,7 @@
 
 // Loaded returns c with the latency to expect by the worker's load.
 func (c Candidate) Loaded(l Load, base time.Duration) Candidate {
-	c.latency, c.crowded = int64(l.Estimate(base)), l.Crowded()
+	c.latency, c.crowded, c.full = int64(l.Estimate(base)), l.Crowded(), l.Full()
 	return c
 }
 
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -19,6 +19,8 @@
 	crowdedFactor = 1.7
 	// coldFactor is how much slower a worker is that has just started.
 	coldFactor = 2.0
+	// calmPace is the pace under which a worker is not slowed by its machine.
+	calmPace = 1.5
 	// longestAge is the age that logs show of a report that there is none of.
 	longestAge = time.Hour
 )
@@ -72,6 +74,13 @@
 		l.running, l.waiting, l.slots, l.pace, min(l.age, longestAge).Round(time.Millisecond), l.since, l.seen)
 }
 
+// AtPace tells whether the worker is at its usual pace, by a report that has not
+// faded.
+func (l Load) AtPace() bool { return l.age < paceMemory && l.pace < calmPace }
+
+// Calm tells whether nothing holds one more call up.
+func (l Load) Calm() bool { return l.AtPace() && !l.cold && !l.Crowded() }
+
 // Pace returns the pace to expect now: what was reported, fading to the usual.
 func (l Load) Pace() float64 {
 	weight := math.Exp(-float64(l.age) / float64(paceMemory))
@@ -87,6 +96,9 @@
 // Crowded tells whether one more call would slow the worker down.
 func (l Load) Crowded() bool { return l.calls() > crowdedShare*float64(max(l.slots, 1)) }
 
+// Full tells whether one more call would have to wait for its turn.
+func (l Load) Full() bool { return l.calls() > float64(max(l.slots, 1)) }
+
 // Estimate returns how long a call takes at the worker that takes base when
 // nothing holds it up: its pace, and its turn if the slots are taken.
 func (l Load) Estimate(base time.Duration) time.Duration {
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -307,7 +307,7 @@
 		usable = true
 		score := c.reportedScore(rng)
 		switch {
-		case c.latency > int64(p.most), p.roomy && c.crowded:
+		case c.latency > int64(p.most), c.full, p.roomy && c.crowded:
 		case c.latency <= int64(p.onTime) && !c.crowded:
 			roomy.offer(i, score, rng)
 		case c.latency <= int64(p.onTime):
