--- /dev/null
+++ b/arbiter/arbiter.go
@@ -0,0 +1,278 @@
+// Package arbiter lets one instance of a region decide which worker takes each
+// call of a service. It alone knows of every call that is under way there, so
+// that instances with the same knowledge do not crowd the same worker. Every
+// instance is the arbiter of some services. An instance whose arbiter does not
+// answer decides for itself.
+package arbiter
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/limiter"
+	"burdocklane/picker"
+	"burdocklane/publisher"
+	"burdocklane/registrar"
+	"burdocklane/tracker"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// answerTimeout is how long an arbiter may take to answer at all.
+	answerTimeout = 20 * time.Millisecond
+	// roomTimeout is how much longer it may take if the call waits for room.
+	roomTimeout = 60 * time.Millisecond
+	// silenceRest is how long an arbiter that did not answer is not asked.
+	silenceRest = 300 * time.Millisecond
+	// doneSlack is how long after a call's deadline its slot is held at most.
+	doneSlack     = 200 * time.Millisecond
+	sweepEvery    = 100 * time.Millisecond
+	mostDatagram  = 2 << 10
+	receiveBuffer = 256 << 10
+)
+
+var (
+	askedTotal    = metrics.NewCounter("burdocklane_rulings_asked_total")
+	silentTotal   = metrics.NewCounter("burdocklane_rulings_silent_total")
+	assignedTotal = metrics.NewCounter(`burdocklane_rulings_given_total{word="assigned"}`)
+	deniedTotal   = metrics.NewCounter(`burdocklane_rulings_given_total{word="denied"}`)
+)
+
+// Arbiter asks for rulings and gives them.
+type Arbiter struct {
+	self      registrar.Instance
+	hash      uint32
+	publisher *publisher.Publisher
+	live      func() []registrar.Instance
+	log       zerolog.Logger
+	socket    *net.UDPConn
+	view      atomic.Pointer[view]
+	number    atomic.Uint32
+	asked     sync.Map // From call number to chan ruling.
+	silent    sync.Map // From an instance's hash to the time until which it is not asked.
+	granted   sync.Map // From call to *grant.
+	ctx       context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// grant is a slot that a call of another instance uses.
+type grant struct {
+	pool    *limiter.Pool
+	granted limiter.Granted
+	until   time.Time
+}
+
+// New opens the instance's port for rulings. The function live returns the
+// instances of the region that take part.
+func New(self registrar.Instance, p *publisher.Publisher, live func() []registrar.Instance, log zerolog.Logger) (*Arbiter, error) {
+	address, err := net.ResolveUDPAddr("udp4", self.Rulings())
+	if err != nil {
+		return nil, errors.Wrap(err, "address for rulings")
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for rulings")
+	}
+	socket.SetReadBuffer(receiveBuffer) //nolint:errcheck // A smaller buffer serves too.
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &Arbiter{
+		self: self, hash: hashOf(self.ID()), publisher: p, live: live, log: log,
+		socket: socket, ctx: ctx, cancel: cancel,
+	}
+	a.view.Store(&view{})
+	a.running.Go(a.receive)
+	a.running.Go(a.sweep)
+	return a, nil
+}
+
+// Close ends the rulings and waits for those under way.
+func (a *Arbiter) Close() {
+	a.cancel()
+	a.socket.Close()
+	a.running.Wait()
+	a.granted.Range(func(key, _ any) bool {
+		a.release(key.(call), limiter.FoundNothing)
+		return true
+	})
+}
+
+func (a *Arbiter) send(message any, to *net.UDPAddr) {
+	data, err := encode(message)
+	if err != nil {
+		a.log.Error().Err(err).Msg("datagram could not be made")
+		return
+	}
+	if _, err := a.socket.WriteToUDP(data, to); err != nil {
+		a.log.Debug().Err(err).Msg("datagram could not be sent")
+	}
+}
+
+func (a *Arbiter) receive() {
+	buffer := make([]byte, mostDatagram)
+	for {
+		n, from, err := a.socket.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			a.log.Debug().Err(err).Msg("datagram could not be received")
+			continue
+		}
+		message, err := decode(buffer[:n])
+		if err != nil {
+			a.log.Debug().Err(err).Msg("datagram is not readable")
+			continue
+		}
+		switch m := message.(type) {
+		case *ask:
+			a.rule(*m, from)
+		case *ruling:
+			a.answered(*m)
+		case *done:
+			a.finished(*m)
+		}
+	}
+}
+
+// rule decides at once if it can, and lets the call wait for room if not.
+func (a *Arbiter) rule(m ask, from *net.UDPAddr) {
+	lane := a.current().lanes[m.Service]
+	if lane == nil {
+		return
+	}
+	request := lane.ask(m)
+	granted, decision := lane.pool.Decide(request)
+	switch decision.(type) {
+	case picker.Send:
+		a.assign(m, lane, granted, from)
+		return
+	case picker.Refuse:
+		a.deny(m, from)
+		return
+	case picker.Wait:
+	}
+	if m.Spare {
+		a.deny(m, from)
+		return
+	}
+	a.send(ruling{Kind: kindRuling, Word: wordQueued, Call: m.Call}, from)
+	a.running.Go(func() {
+		switch admission := lane.pool.AwaitRoom(a.ctx, request).(type) {
+		case limiter.Granted:
+			a.assign(m, lane, admission, from)
+		case limiter.Refused:
+			a.deny(m, from)
+		}
+	})
+}
+
+func (a *Arbiter) assign(m ask, lane *lane, granted limiter.Granted, to *net.UDPAddr) {
+	until := time.Now().Add(time.Duration(m.LeftMs)*time.Millisecond + doneSlack)
+	a.granted.Store(m.Call, &grant{pool: lane.pool, granted: granted, until: until})
+	assignedTotal.Inc()
+	worker := granted.Worker()
+	a.send(ruling{
+		Kind: kindRuling, Word: wordAssigned, Call: m.Call,
+		Worker: hashOf(worker.ID()), Load: newLoad(worker, lane.pool.Now()),
+	}, to)
+}
+
+func (a *Arbiter) deny(m ask, to *net.UDPAddr) {
+	deniedTotal.Inc()
+	a.send(ruling{Kind: kindRuling, Word: wordDenied, Call: m.Call}, to)
+}
+
+// finished gives back the slot of a call and learns what the call has shown.
+func (a *Arbiter) finished(m done) {
+	if g, ok := a.granted.Load(m.Call); ok {
+		m.Load.learn(g.(*grant).pool, g.(*grant).granted.Worker())
+	}
+	a.release(m.Call, limiter.Finding(m.Finding))
+}
+
+func (a *Arbiter) release(c call, finding limiter.Finding) {
+	found, ok := a.granted.LoadAndDelete(c)
+	if !ok {
+		return
+	}
+	g := found.(*grant)
+	g.pool.Found(g.granted, finding)
+	g.granted.Release()
+}
+
+// sweep gives back the slots of calls whose end was never told.
+func (a *Arbiter) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case now := <-ticker.C:
+			a.granted.Range(func(key, value any) bool {
+				if now.After(value.(*grant).until) {
+					a.release(key.(call), limiter.FoundNothing)
+				}
+				return true
+			})
+		}
+	}
+}
+
+// view is what a snapshot means to the arbiter. It is immutable.
+type view struct {
+	snapshot *publisher.Snapshot
+	lanes    map[uint32]*lane // By the hash of the service's name.
+}
+
+type lane struct {
+	pool   *limiter.Pool
+	byHash map[uint32]*tracker.Worker
+}
+
+// current returns the view of the snapshot in force.
+func (a *Arbiter) current() *view {
+	v := a.view.Load()
+	if snapshot := a.publisher.Current(); v.snapshot != snapshot {
+		v = newView(snapshot)
+		a.view.Store(v)
+	}
+	return v
+}
+
+func newView(s *publisher.Snapshot) *view {
+	v := &view{snapshot: s, lanes: make(map[uint32]*lane, len(s.Lanes()))}
+	for name, l := range s.Lanes() {
+		workers := l.Pool().Workers()
+		byHash := make(map[uint32]*tracker.Worker, len(workers))
+		for _, w := range workers {
+			byHash[hashOf(w.ID())] = w
+		}
+		v.lanes[hashOf(name)] = &lane{pool: l.Pool(), byHash: byHash}
+	}
+	return v
+}
+
+// ask returns what another instance asks of the pool.
+func (l *lane) ask(m ask) limiter.Ask {
+	now := time.Now()
+	var avoid []registrar.WorkerID
+	for _, hash := range m.Avoid {
+		if w := l.byHash[hash]; w != nil {
+			avoid = append(avoid, w.ID())
+		}
+	}
+	request := limiter.NewAsk(time.Duration(m.TargetMs)*time.Millisecond, now.Add(time.Duration(m.LeftMs)*time.Millisecond),
+		limiter.WithAvoid(avoid...)).OnTimeUntil(now.Add(time.Duration(m.OnTimeMs) * time.Millisecond))
+	if m.Spare {
+		return request.Hurried()
+	}
+	return request
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -3,6 +3,7 @@
 package conductor
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/arbiter"
 	"burdocklane/asserter"
 	"burdocklane/checker"
 	"burdocklane/dispatcher"
@@ -73,6 +75,7 @@
 	follower   *follower.Follower
 	registrant *registrant.Registrant
 	informer   *informer.Informer
+	arbiter    atomic.Pointer[arbiter.Arbiter]
 	ready      *http.Server
 	serving    sync.WaitGroup
 	listed     atomic.Bool
@@ -100,7 +103,8 @@
 }
 
 func (c *Conductor) self() registrar.Instance {
-	return registrar.NewInstance(c.settings.Instance(), c.settings.Peers(), "", c.settings.Place(), false)
+	return registrar.NewInstance(c.settings.Instance(), c.settings.Peers(), "", c.settings.Place(), false).
+		WithRulings(c.settings.Rulings())
 }
 
 // layCalls puts the filters of a call in a row.
@@ -108,7 +112,7 @@
 	c.asserter = asserter.New(c.log)
 	c.recorder = recorder.New(c.log, recorder.WithBuffer(decisionsKept), recorder.WithRecent(recentKept))
 	c.publisher = publisher.New(c.self(),
-		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})),
+		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithDecider(c.decide)),
 		publisher.WithRetries(publisher.NewRetries(budgetUse*c.settings.RetryShare(), budgetUse*c.settings.RetryExtra())))
 	c.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
@@ -131,7 +135,23 @@
 	c.informer, err = informer.New(c.self(), c.publisher,
 		checker.New(c.sender, platform.HeaderWorker, platform.HeaderLoad),
 		informer.NewNews(c.follower.Revision, c.follower.Behind), c.log)
-	return err
+	if err != nil {
+		return err
+	}
+	a, err := arbiter.New(c.self(), c.publisher, c.informer.Live, c.log)
+	if err != nil {
+		return err
+	}
+	c.arbiter.Store(a)
+	return nil
+}
+
+// decide asks the region's arbiter, once there is one.
+func (c *Conductor) decide(ctx context.Context, p *limiter.Pool, ask limiter.Ask) limiter.Ruling {
+	if a := c.arbiter.Load(); a != nil {
+		return a.Decide(ctx, p, ask)
+	}
+	return limiter.Undecided{}
 }
 
 // learn puts what the store holds in force.
@@ -223,6 +243,9 @@
 	if c.follower != nil {
 		c.follower.Close()
 	}
+	if a := c.arbiter.Load(); a != nil {
+		a.Close()
+	}
 	if c.informer != nil {
 		c.informer.Close()
 	}
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -110,7 +110,7 @@
 	if h.closed {
 		return false
 	}
-	granted, ok := r.lane.Pool().TryAcquire(r.ask().Hurried())
+	granted, ok := r.lane.Pool().TryHedge(h.over, r.ask().Hurried())
 	if !ok {
 		return false
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -66,6 +66,7 @@
 	socket    *net.UDPConn
 	started   time.Time
 	view      atomic.Pointer[view]
+	alive     atomic.Pointer[[]registrar.Instance]
 	toldAt    time.Duration // Used by the run goroutine alone.
 	heard     sync.Map      // From an instance's hash to *atomic.Int64, when it was last heard.
 	cancel    context.CancelFunc
@@ -88,6 +89,7 @@
 		socket: socket, started: time.Now(), cancel: cancel,
 	}
 	i.view.Store(&view{})
+	i.alive.Store(&[]registrar.Instance{self})
 	i.running.Go(func() { i.run(ctx) })
 	i.running.Go(i.receive)
 	return i, nil
@@ -100,6 +102,10 @@
 	i.running.Wait()
 }
 
+// Live returns this instance and the instances of its region that have been
+// heard of late. The caller must not change the slice.
+func (i *Informer) Live() []registrar.Instance { return *i.alive.Load() }
+
 func (i *Informer) now() time.Duration { return time.Since(i.started) }
 
 func (i *Informer) run(ctx context.Context) {
@@ -133,6 +139,7 @@
 // check asks the workers that fall to this instance and whose reports are old.
 func (i *Informer) check(ctx context.Context, v *view) {
 	live := i.live(v)
+	i.showLive(live)
 	for _, t := range v.targets {
 		if t.path == "" || t.worker.ReportAge(t.pool.Now()) < freshAge || !i.mine(t, live) {
 			continue
@@ -150,7 +157,7 @@
 func (i *Informer) live(v *view) []peer {
 	oldest := int64(i.now() - peerSilence)
 	live := make([]peer, 0, len(v.peers)+1)
-	live = append(live, peer{hash: i.hash, zone: i.self.Place().Zone()})
+	live = append(live, peer{hash: i.hash, instance: i.self})
 	for _, p := range v.peers {
 		if at, ok := i.heard.Load(p.hash); ok && at.(*atomic.Int64).Load() > oldest {
 			live = append(live, p)
@@ -159,6 +166,14 @@
 	return live
 }
 
+func (i *Informer) showLive(live []peer) {
+	instances := make([]registrar.Instance, 0, len(live))
+	for _, p := range live {
+		instances = append(instances, p.instance)
+	}
+	i.alive.Store(&instances)
+}
+
 // mine tells whether the worker falls to this instance: to the one with the
 // highest hash in the worker's availability zone, or in the region if the zone
 // has none.
@@ -168,7 +183,7 @@
 	var owner uint32
 	for _, p := range live {
 		score := mix(uint64(t.hash)<<32|uint64(p.hash)) >> 1
-		if p.zone == zone {
+		if p.instance.Place().Zone() == zone {
 			score |= nearBit
 		}
 		if score >= best {
--- a/informer/target.go
+++ b/informer/target.go
@@ -26,7 +26,7 @@
 
 // news returns what is new of the worker, if this instance learnt it itself.
 func (t *target) news() (record, bool) {
-	calls := t.worker.InFlight()
+	calls := t.worker.Own()
 	r := record{Worker: t.hash, Calls: small(calls)}
 	fresh := t.state.calls.Swap(calls) != calls
 	if t.state.away.Swap(false) {
--- a/informer/view.go
+++ b/informer/view.go
@@ -20,9 +20,9 @@
 }
 
 type peer struct {
-	hash    uint32
-	zone    string
-	address *net.UDPAddr
+	hash     uint32
+	instance registrar.Instance
+	address  *net.UDPAddr
 }
 
 // newView keeps the state of targets that stay.
@@ -53,7 +53,7 @@
 		if err != nil {
 			continue
 		}
-		p := peer{hash: hashOf(string(instance.ID())), zone: instance.Place().Zone(), address: address}
+		p := peer{hash: hashOf(string(instance.ID())), instance: instance, address: address}
 		if instance.Place().Region() == self.Place().Region() {
 			v.peers = append(v.peers, p)
 			continue
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -31,6 +31,7 @@
 	avoid    []registrar.WorkerID
 	lending  bool
 	onTime   time.Time
+	onBehalf bool
 	spare    bool
 }
 
@@ -65,6 +66,21 @@
 	return a
 }
 
+// Target returns the class's target.
+func (a Ask) Target() time.Duration { return a.target }
+
+// OnTime returns until when an answer is on time.
+func (a Ask) OnTime() time.Time { return a.onTime }
+
+// Deadline returns when the call is of no use any more.
+func (a Ask) Deadline() time.Time { return a.deadline }
+
+// Avoided returns the workers that earlier attempts were sent to.
+func (a Ask) Avoided() []registrar.WorkerID { return a.avoid }
+
+// Spare tells whether the call must take nobody's room.
+func (a Ask) Spare() bool { return a.spare }
+
 // Hurried returns a that takes nobody's room, without use after it would be
 // late, if that is still to come.
 func (a Ask) Hurried() Ask {
@@ -97,6 +113,9 @@
 	seen   Seen
 	// overflow marks a slot beyond the instance's own.
 	overflow bool
+	// onBehalf marks a slot that a call of another instance uses.
+	onBehalf bool
+	assigned *assignment
 }
 
 // Refused says why no slot was granted.
@@ -125,7 +144,15 @@
 func (g Granted) Seen() Seen { return g.seen }
 
 // Release gives the slot back; it must be called once.
-func (g Granted) Release() { g.pool.release(g.worker, g.loan) }
+func (g Granted) Release() {
+	if g.onBehalf {
+		g.worker.AddLent(-1)
+	}
+	g.pool.release(g.worker, g.loan)
+	if g.assigned != nil {
+		g.assigned.done(Finding(g.assigned.finding.Load()))
+	}
+}
 
 // Reason says why the call was refused.
 func (r Refused) Reason() Reason { return r.reason }
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -70,8 +70,9 @@
 	mutex sync.Mutex // Guards queue, and is never held across a call.
 	queue *queue
 
-	wants  chan Want
-	probes chan<- *Pool
+	decider Decider
+	wants   chan Want
+	probes  chan<- *Pool
 }
 
 // Option sets one property of a Pool.
@@ -200,7 +201,7 @@
 	p.far.Deposit()
 	var seen Seen
 	if p.reported() {
-		return p.acquireReported(ctx, ask, since)
+		return p.acquireRuled(ctx, ask, since)
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		worker, decision := p.try(p.policy, &ask, &seen)
@@ -245,6 +246,9 @@
 		p.noteChosen(seen, worker, candidates[send.Index()], now)
 		if !picker.Bounded(policy) { // Overflow is bounded by what the picker saw.
 			worker.Acquire(now)
+			if ask.onBehalf {
+				worker.AddLent(1)
+			}
 			p.noteHeld(1)
 			return worker, decision
 		}
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -1,12 +1,29 @@
 package limiter
 
 import (
+	"context"
 	"time"
 
 	"burdocklane/picker"
 	"burdocklane/tracker"
 )
 
+// TryHedge takes a slot at a worker that the ask does not avoid, for a hedged
+// request. It never waits for room.
+func (p *Pool) TryHedge(ctx context.Context, ask Ask) (Granted, bool) {
+	if !p.reported() || p.decider == nil {
+		return p.TryAcquire(ask)
+	}
+	switch r := p.decider(ctx, p, ask).(type) {
+	case Assigned:
+		return p.assigned(r, ask, time.Now()), true
+	case Denied:
+		return Granted{}, false
+	case Undecided:
+	}
+	return p.TryAcquire(ask)
+}
+
 // TryAcquire takes a slot at a worker that the ask does not avoid, beyond the
 // instance's own slots if it must, or returns false; it never waits. It is for
 // hedged requests, which are refused while more calls wait than slots are held.
@@ -35,17 +52,22 @@
 		p.Failed(g)
 		return
 	}
+	g.found(FoundGood)
 	g.worker.Succeeded(latency, p.Now())
 	p.observe(latency, g.worker.Distance())
 	p.observeCalm(g, latency)
 }
 
 // Failed notes that the worker failed a call.
-func (p *Pool) Failed(g Granted) { p.dispatchAfter(g.worker.Failed(p.Now())) }
+func (p *Pool) Failed(g Granted) {
+	g.found(FoundFailing)
+	p.dispatchAfter(g.worker.Failed(p.Now()))
+}
 
 // Unreachable notes that no connection to the worker could be made. Nothing is
 // sent there for a while.
 func (p *Pool) Unreachable(g Granted) {
+	g.found(FoundAway)
 	if p.reported() {
 		p.Away(g.worker)
 		return
@@ -55,6 +77,7 @@
 
 // Shed notes that the worker declined a call for overload.
 func (p *Pool) Shed(g Granted, retryAfter time.Duration) {
+	g.found(FoundFull)
 	if p.reported() && retryAfter <= 0 {
 		retryAfter = shedPause
 	}
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -117,7 +117,7 @@
 		}
 		worker, decision := p.try(p.policyFor(&head.ask), &head.ask, &seen)
 		if _, ok := decision.(picker.Send); ok {
-			p.hand(head, Granted{pool: p, worker: worker, target: head.ask.target})
+			p.hand(head, Granted{pool: p, worker: worker, target: head.ask.target, onBehalf: head.ask.onBehalf})
 			continue
 		}
 		if !head.impatient.Load() {
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -26,10 +26,11 @@
 
 // message is the value of an instance's entry.
 type message struct {
-	ID     string `json:"id"`
-	Peers  string `json:"peers"`
-	Region string `json:"region"`
-	Zone   string `json:"availability-zone"`
+	ID      string `json:"id"`
+	Peers   string `json:"peers"`
+	Rulings string `json:"rulings"`
+	Region  string `json:"region"`
+	Zone    string `json:"availability-zone"`
 }
 
 // Parse reads an instance's entry.
@@ -38,7 +39,7 @@
 	if err := json.Unmarshal(value, &m); err != nil {
 		return registrar.Instance{}, errors.Wrapf(err, "entry %s", key)
 	}
-	return registrar.NewInstance(registrar.InstanceID(m.ID), m.Peers, "", registrar.NewPlace(m.Region, m.Zone), false), nil
+	return registrar.NewInstance(registrar.InstanceID(m.ID), m.Peers, "", registrar.NewPlace(m.Region, m.Zone), false).WithRulings(m.Rulings), nil
 }
 
 // Registrant writes the entry and keeps its lease.
@@ -55,7 +56,7 @@
 // New starts a Registrant of the instance, whose entry stands under the prefix.
 func New(store storer.Store, prefix string, self registrar.Instance, log zerolog.Logger) (*Registrant, error) {
 	value, err := json.Marshal(message{
-		ID: string(self.ID()), Peers: self.Peers(), Region: self.Place().Region(), Zone: self.Place().Zone(),
+		ID: string(self.ID()), Peers: self.Peers(), Rulings: self.Rulings(), Region: self.Place().Region(), Zone: self.Place().Zone(),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode instance entry")
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -100,6 +100,7 @@
 	admin   string
 	place   Place
 	leaving bool
+	rulings string
 }
 
 // NewInstance returns an instance with the host:port of its peers' and admin
@@ -117,6 +118,15 @@
 // Admin returns host:port of the read-only admin port.
 func (i Instance) Admin() string { return i.admin }
 
+// WithRulings returns a copy of i that decides for its region at host:port.
+func (i Instance) WithRulings(address string) Instance {
+	i.rulings = address
+	return i
+}
+
+// Rulings returns host:port at which the instance decides for its region, or "".
+func (i Instance) Rulings() string { return i.rulings }
+
 // Place returns where the instance stands.
 func (i Instance) Place() Place { return i.place }
 
--- a/tracker/report.go
+++ b/tracker/report.go
@@ -85,7 +85,8 @@
 // Load returns what is known of the worker's load.
 func (w *Worker) Load(now time.Duration) picker.Load {
 	cold := now < time.Duration(w.coldUntil.Load())
-	seen := w.inFlight.Load() + w.peersCalls(now)
+	// The calls that were lent are the peers' own.
+	seen := w.Own() + max(w.lent.Load(), w.peersCalls(now))
 	r := w.report.Load()
 	if r == nil {
 		return picker.UnknownLoad(int32(w.Member().Slots())).Seen(seen).Cold(cold)
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -61,6 +61,7 @@
 	coldUntil    atomic.Int64
 	ailing       atomic.Bool
 	begun        atomic.Int64 // Calls ever sent.
+	lent         atomic.Int32 // Calls in flight that are other instances'.
 	errors       atomic.Int64 // Moving share of failed calls, in millionths.
 	report       atomic.Pointer[Report]
 	peers        atomic.Pointer[[]peerCalls]
@@ -108,6 +109,18 @@
 // InFlight returns the instance's own calls at the worker.
 func (w *Worker) InFlight() int32 { return w.inFlight.Load() }
 
+// AddLent changes the number of calls in flight that are other instances'.
+func (w *Worker) AddLent(calls int32) { w.lent.Add(calls) }
+
+// Own returns the calls in flight that this instance has sent itself.
+func (w *Worker) Own() int32 { return max(w.inFlight.Load()-w.lent.Load(), 0) }
+
+// Fine notes a good answer to another instance's call.
+func (w *Worker) Fine() {
+	w.failures.Store(0)
+	w.noteError(0)
+}
+
 // SetRemote stores the number of calls that a probe found at the worker.
 func (w *Worker) SetRemote(calls int) { w.remote.Store(int32(calls)) }
 
