Ask other regions' arbiters for room, weigh workers that decline, take distances from the asker

Cause: far workers were chosen without knowledge; an arbiter weighed distances from its own zone (bytes between zones); a service whose workers all decline half of their calls was paused whole.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -28,6 +28,8 @@
 	answerTimeout = 20 * time.Millisecond
 	// roomTimeout is how much longer it may take if the call waits for room.
 	roomTimeout = 60 * time.Millisecond
+	// farTimeout is the same for an arbiter of another region.
+	farTimeout = 40 * time.Millisecond
 	// silenceRest is how long an arbiter that did not answer is not asked.
 	silenceRest = 300 * time.Millisecond
 	// doneSlack is how long after a call's deadline its slot is held at most.
@@ -62,11 +64,13 @@
 	running   sync.WaitGroup
 }
 
-// grant is a slot that a call of another instance uses.
+// grant is a worker's slot that a call of another instance uses. The slot is
+// this instance's, or was assigned by the arbiter of another region.
 type grant struct {
-	pool    *limiter.Pool
-	granted limiter.Granted
-	until   time.Time
+	pool   *limiter.Pool
+	worker *tracker.Worker
+	finish func(limiter.Finding)
+	until  time.Time
 }
 
 // New opens the instance's port for rulings. The function live returns the
@@ -141,17 +145,21 @@
 	}
 }
 
-// rule decides at once if it can, and lets the call wait for room if not.
+// rule answers an ask of another instance.
 func (a *Arbiter) rule(m ask, from *net.UDPAddr) {
-	lane := a.current().lanes[m.Service]
+	v := a.current()
+	lane := v.lanes[m.Service]
 	if lane == nil {
 		return
 	}
-	request := lane.ask(m)
-	granted, decision := lane.pool.Decide(request)
+	request := lane.ask(m).OnBehalf()
+	if place, ok := v.places[m.Call.Asker]; ok {
+		request = request.From(place)
+	}
+	granted, decision := lane.pool.Decide(request.Near())
 	switch decision.(type) {
 	case picker.Send:
-		a.assign(m, lane, granted, from)
+		a.assign(m, lane, limiter.NewTaken(granted), from)
 		return
 	case picker.Refuse:
 		a.deny(m, from)
@@ -163,24 +171,30 @@
 		return
 	}
 	a.send(ruling{Kind: kindRuling, Word: wordQueued, Call: m.Call}, from)
-	a.running.Go(func() {
-		switch admission := lane.pool.AwaitRoom(a.ctx, request).(type) {
-		case limiter.Granted:
-			a.assign(m, lane, admission, from)
-		case limiter.Refused:
-			a.deny(m, from)
-		}
-	})
+	a.running.Go(func() { a.assign(m, lane, a.findRoom(a.ctx, lane.pool, request), from) })
 }
 
-func (a *Arbiter) assign(m ask, lane *lane, granted limiter.Granted, to *net.UDPAddr) {
-	until := time.Now().Add(time.Duration(m.LeftMs)*time.Millisecond + doneSlack)
-	a.granted.Store(m.Call, &grant{pool: lane.pool, granted: granted, until: until})
+// assign tells the asker how its call was decided.
+func (a *Arbiter) assign(m ask, lane *lane, decided limiter.Ruling, to *net.UDPAddr) {
+	g := &grant{pool: lane.pool, until: time.Now().Add(time.Duration(m.LeftMs)*time.Millisecond + doneSlack)}
+	switch r := decided.(type) {
+	case limiter.Taken:
+		g.worker = r.Granted().Worker()
+		g.finish = func(f limiter.Finding) {
+			lane.pool.Found(r.Granted(), f)
+			r.Granted().Release()
+		}
+	case limiter.Assigned:
+		g.worker, g.finish = r.Worker(), r.Done
+	default:
+		a.deny(m, to)
+		return
+	}
+	a.granted.Store(m.Call, g)
 	assignedTotal.Inc()
-	worker := granted.Worker()
 	a.send(ruling{
 		Kind: kindRuling, Word: wordAssigned, Call: m.Call,
-		Worker: hashOf(worker.ID()), Load: newLoad(worker, lane.pool.Now()),
+		Worker: hashOf(g.worker.ID()), Load: newLoad(g.worker, lane.pool.Now()),
 	}, to)
 }
 
@@ -191,20 +205,17 @@
 
 // finished gives back the slot of a call and learns what the call has shown.
 func (a *Arbiter) finished(m done) {
-	if g, ok := a.granted.Load(m.Call); ok {
-		m.Load.learn(g.(*grant).pool, g.(*grant).granted.Worker())
+	if found, ok := a.granted.Load(m.Call); ok {
+		g := found.(*grant)
+		m.Load.learn(g.pool, g.worker)
 	}
 	a.release(m.Call, limiter.Finding(m.Finding))
 }
 
 func (a *Arbiter) release(c call, finding limiter.Finding) {
-	found, ok := a.granted.LoadAndDelete(c)
-	if !ok {
-		return
+	if found, ok := a.granted.LoadAndDelete(c); ok {
+		found.(*grant).finish(finding)
 	}
-	g := found.(*grant)
-	g.pool.Found(g.granted, finding)
-	g.granted.Release()
 }
 
 // sweep gives back the slots of calls whose end was never told.
@@ -229,7 +240,8 @@
 // view is what a snapshot means to the arbiter. It is immutable.
 type view struct {
 	snapshot *publisher.Snapshot
-	lanes    map[uint32]*lane // By the hash of the service's name.
+	lanes    map[uint32]*lane           // By the hash of the service's name.
+	places   map[uint32]registrar.Place // By the hash of the instance's ID.
 }
 
 type lane struct {
@@ -248,7 +260,13 @@
 }
 
 func newView(s *publisher.Snapshot) *view {
-	v := &view{snapshot: s, lanes: make(map[uint32]*lane, len(s.Lanes()))}
+	v := &view{
+		snapshot: s, lanes: make(map[uint32]*lane, len(s.Lanes())),
+		places: make(map[uint32]registrar.Place, len(s.List().Instances())),
+	}
+	for _, instance := range s.List().Instances() {
+		v.places[hashOf(instance.ID())] = instance.Place()
+	}
 	for name, l := range s.Lanes() {
 		workers := l.Pool().Workers()
 		byHash := make(map[uint32]*tracker.Worker, len(workers))
--- a/arbiter/asker.go
+++ b/arbiter/asker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdocklane/limiter"
+	"burdocklane/picker"
 	"burdocklane/registrar"
 	"burdocklane/tracker"
 )
@@ -13,21 +14,102 @@
 // Decide asks the service's arbiter which worker is to take a call. It is a
 // limiter.Decider.
 func (a *Arbiter) Decide(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
-	arbiter := a.arbiterOf(string(p.Service()))
-	if arbiter.ID() == a.self.ID() || a.isSilent(arbiter) {
+	arbiter := highest(a.live(), p, a.self)
+	if arbiter.ID() == a.self.ID() {
+		return a.decideHere(ctx, p, request)
+	}
+	if a.isSilent(arbiter) {
+		return limiter.Undecided{}
+	}
+	return a.askAt(ctx, p, request, arbiter, answerTimeout)
+}
+
+// decideHere decides on a call of this instance.
+func (a *Arbiter) decideHere(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
+	granted, decision := p.Decide(request.Near())
+	switch decision.(type) {
+	case picker.Send:
+		return limiter.NewTaken(granted)
+	case picker.Refuse:
 		return limiter.Undecided{}
+	case picker.Wait:
+	}
+	if request.Spare() {
+		return limiter.Denied{}
+	}
+	return a.findRoom(ctx, p, request)
+}
+
+// findRoom waits for room in the region, and meanwhile asks the arbiter of
+// another one for some. Whatever comes first is taken, and the other given back.
+func (a *Arbiter) findRoom(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	near := make(chan limiter.Admission, 1)
+	a.running.Go(func() { near <- p.AwaitRoom(ctx, request.Near()) })
+	far := make(chan limiter.Ruling, 1)
+	a.running.Go(func() { far <- a.askFar(ctx, p, request) })
+	select {
+	case admission := <-near:
+		if granted, ok := admission.(limiter.Granted); ok {
+			cancel()
+			giveBack(<-far)
+			return limiter.NewTaken(granted)
+		}
+		return <-far
+	case ruling := <-far:
+		assigned, ok := ruling.(limiter.Assigned)
+		if ok {
+			cancel()
+		}
+		if granted, ok := (<-near).(limiter.Granted); ok {
+			giveBack(ruling)
+			return limiter.NewTaken(granted)
+		}
+		if ok {
+			return assigned
+		}
+		return limiter.Denied{}
+	}
+}
+
+func giveBack(r limiter.Ruling) {
+	if assigned, ok := r.(limiter.Assigned); ok {
+		assigned.Done(limiter.FoundNothing)
+	}
+}
+
+// askFar asks the arbiter of another region for a worker that has room to spare.
+func (a *Arbiter) askFar(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
+	regions := map[string][]registrar.Instance{}
+	for _, instance := range a.publisher.Current().List().Instances() {
+		region := instance.Place().Region()
+		if region != a.self.Place().Region() && !a.isSilent(instance) {
+			regions[region] = append(regions[region], instance)
+		}
+	}
+	for _, instances := range regions { // In random order.
+		arbiter := highest(instances, p, instances[0])
+		return a.askAt(ctx, p, request.Hurried(), arbiter, farTimeout)
 	}
+	return limiter.Denied{}
+}
+
+// askAt asks an arbiter, and waits for its word.
+func (a *Arbiter) askAt(ctx context.Context, p *limiter.Pool, request limiter.Ask, arbiter registrar.Instance, timeout time.Duration) limiter.Ruling {
 	address, err := net.ResolveUDPAddr("udp4", arbiter.Rulings())
 	if err != nil {
 		return limiter.Undecided{}
 	}
-	c := call{Asker: a.hash, Number: a.number.Add(1)}
-	answers := make(chan ruling, 2) // One that the call waits, and one how it ends.
-	a.asked.Store(c.Number, answers)
-	defer a.asked.Delete(c.Number)
+	x := &question{
+		arbiter: a, pool: p, from: arbiter, address: address,
+		call: call{Asker: a.hash, Number: a.number.Add(1)}, answers: make(chan ruling, 2),
+	}
+	a.asked.Store(x.call.Number, x)
+	defer a.asked.Delete(x.call.Number)
 	askedTotal.Inc()
-	a.send(newAsk(c, p, request), address)
-	return a.await(ctx, c, p, request, arbiter, address, answers)
+	a.send(newAsk(x.call, p, request), address)
+	return x.await(ctx, timeout)
 }
 
 func newAsk(c call, p *limiter.Pool, request limiter.Ask) ask {
@@ -45,61 +127,80 @@
 	return m
 }
 
+// question is an ask that is under way.
+type question struct {
+	arbiter *Arbiter
+	pool    *limiter.Pool
+	from    registrar.Instance
+	address *net.UDPAddr
+	call    call
+	answers chan ruling // One that the call waits, and one how it ends.
+}
+
 // await waits for the arbiter's word. A call that no longer waits tells so, in
 // case the word is still under way.
-func (a *Arbiter) await(ctx context.Context, c call, p *limiter.Pool, request limiter.Ask, arbiter registrar.Instance, address *net.UDPAddr, answers <-chan ruling) limiter.Ruling {
-	timer := time.NewTimer(answerTimeout)
+func (x *question) await(ctx context.Context, timeout time.Duration) limiter.Ruling {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		select {
-		case r := <-answers:
+		case r := <-x.answers:
 			switch r.Word {
 			case wordQueued:
 				timer.Reset(roomTimeout)
 				continue
 			case wordAssigned:
-				return a.assigned(r, p, address)
+				return x.assigned(r)
 			}
 			return limiter.Denied{}
 		case <-ctx.Done():
-			a.send(done{Kind: kindDone, Call: c}, address)
+			x.withdraw()
 			return limiter.Denied{}
 		case <-timer.C:
-			silentTotal.Inc()
-			a.silent.Store(arbiter.ID(), time.Now().Add(silenceRest))
-			a.log.Info().Str("arbiter", string(arbiter.ID())).Str("service", string(p.Service())).Msg("arbiter did not answer; deciding alone")
-			a.send(done{Kind: kindDone, Call: c}, address)
+			x.noteSilence()
+			x.withdraw()
 			return limiter.Undecided{}
 		}
 	}
 }
 
+// withdraw gives back what may have been assigned meanwhile.
+func (x *question) withdraw() {
+	x.arbiter.send(done{Kind: kindDone, Call: x.call}, x.address)
+}
+
+func (x *question) noteSilence() {
+	silentTotal.Inc()
+	x.arbiter.silent.Store(x.from.ID(), time.Now().Add(silenceRest))
+	x.arbiter.log.Info().Str("arbiter", string(x.from.ID())).Str("service", string(x.pool.Service())).Msg("arbiter did not answer")
+}
+
 // assigned finds the worker that the arbiter names.
-func (a *Arbiter) assigned(r ruling, p *limiter.Pool, address *net.UDPAddr) limiter.Ruling {
+func (x *question) assigned(r ruling) limiter.Ruling {
 	var worker *tracker.Worker
-	if lane := a.current().lanes[hashOf(p.Service())]; lane != nil {
+	if lane := x.arbiter.current().lanes[hashOf(x.pool.Service())]; lane != nil {
 		worker = lane.byHash[r.Worker]
 	}
-	if worker == nil || worker.LeavingFor(p.Now()) > 0 {
-		a.send(done{Kind: kindDone, Call: r.Call}, address)
+	if worker == nil || worker.LeavingFor(x.pool.Now()) > 0 {
+		x.withdraw()
 		return limiter.Undecided{}
 	}
-	r.Load.learn(p, worker)
+	r.Load.learn(x.pool, worker)
 	return limiter.NewAssigned(worker, func(f limiter.Finding) {
 		m := done{Kind: kindDone, Finding: uint8(f), Call: r.Call, Worker: r.Worker}
 		if report, ok := worker.Report(); ok && !report.IsHeard() {
-			m.Load = newLoad(worker, p.Now())
+			m.Load = newLoad(worker, x.pool.Now())
 		}
-		a.send(m, address)
+		x.arbiter.send(m, x.address)
 	})
 }
 
 // answered hands a ruling to the call that waits for it. A grant that nobody
 // waits for is given back when its asker says so, or at its deadline.
 func (a *Arbiter) answered(r ruling) {
-	if answers, ok := a.asked.Load(r.Call.Number); ok && r.Call.Asker == a.hash {
+	if x, ok := a.asked.Load(r.Call.Number); ok && r.Call.Asker == a.hash {
 		select {
-		case answers.(chan ruling) <- r:
+		case x.(*question).answers <- r:
 		default:
 		}
 	}
@@ -110,13 +211,13 @@
 	return ok && time.Now().Before(until.(time.Time))
 }
 
-// arbiterOf returns the live instance with the highest hash for the service
+// highest returns the instance with the highest hash for the pool's service
 // (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
 // 1998).
-func (a *Arbiter) arbiterOf(service string) registrar.Instance {
-	best, bestScore := a.self, uint32(0)
-	for _, instance := range a.live() {
-		if score := hashOf(service + "/" + string(instance.ID())); score >= bestScore {
+func highest(instances []registrar.Instance, p *limiter.Pool, fallback registrar.Instance) registrar.Instance {
+	best, bestScore := fallback, uint32(0)
+	for _, instance := range instances {
+		if score := hashOf(string(p.Service()) + "/" + string(instance.ID())); score >= bestScore {
 			best, bestScore = instance, score
 		}
 	}
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -31,7 +31,9 @@
 	avoid    []registrar.WorkerID
 	lending  bool
 	onTime   time.Time
+	from     option[registrar.Place]
 	onBehalf bool
+	near     bool
 	spare    bool
 }
 
@@ -66,6 +68,30 @@
 	return a
 }
 
+// Near returns a that only takes workers of the region.
+func (a Ask) Near() Ask {
+	a.near = true
+	return a
+}
+
+// OnBehalf returns a of a call that another instance sends.
+func (a Ask) OnBehalf() Ask {
+	a.onBehalf = true
+	return a
+}
+
+// From returns a of a call that is sent from another place than the pool's own.
+func (a Ask) From(place registrar.Place) Ask {
+	a.from = option[registrar.Place]{value: place, set: true}
+	return a
+}
+
+// option is a value that may be absent.
+type option[T any] struct {
+	value T
+	set   bool
+}
+
 // Target returns the class's target.
 func (a Ask) Target() time.Duration { return a.target }
 
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -278,14 +278,33 @@
 			ejected++
 		}
 	}
-	if ejected*ejectedMost > len(workers) {
-		for i := range candidates {
-			candidates[i] = candidates[i].Readmitted()
-		}
+	if ejected > 0 {
+		readmit(candidates, ejected)
 	}
 	return candidates
 }
 
+// readmit uses ejected workers again, if they are more than the allowed share of
+// all, or of those within reach of the region.
+func readmit(candidates []picker.Candidate, ejected int) {
+	near, nearEjected := 0, 0
+	for _, c := range candidates {
+		if c.Far() {
+			continue
+		}
+		near++
+		if c.State() == picker.Ejected {
+			nearEjected++
+		}
+	}
+	all := ejected*ejectedMost > len(candidates)
+	for i, c := range candidates {
+		if all || (!c.Far() && nearEjected*ejectedMost > near) {
+			candidates[i] = c.Readmitted()
+		}
+	}
+}
+
 // fairLimit bounds the calls at one worker by the even part of the usual load
 // and some headroom.
 func (p *Pool) fairLimit() int32 {
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -17,6 +17,8 @@
 	switch r := p.decider(ctx, p, ask).(type) {
 	case Assigned:
 		return p.assigned(r, ask, time.Now()), true
+	case Taken:
+		return r.granted, true
 	case Denied:
 		return Granted{}, false
 	case Undecided:
@@ -75,10 +77,15 @@
 	p.dispatchAfter(g.worker.Unreachable(p.Now()))
 }
 
-// Shed notes that the worker declined a call for overload.
+// Shed notes that the worker declined a call for overload. One that reports room
+// all the same is not left alone: others may decline as often.
 func (p *Pool) Shed(g Granted, retryAfter time.Duration) {
 	g.found(FoundFull)
 	if p.reported() && retryAfter <= 0 {
+		g.worker.Declined()
+		if !g.worker.Load(p.Now()).Full() {
+			return
+		}
 		retryAfter = shedPause
 	}
 	p.dispatchAfter(g.worker.Shed(retryAfter, p.Now()))
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -16,6 +16,7 @@
 	// roomShare is the part of a class's target that a call waits for room: a
 	// refusal after that still leaves the caller time to come back.
 	roomShare = 0.125
+	roomMost  = 50 * time.Millisecond
 	// shedPause is how long a worker that declined a call without naming a time
 	// is left alone.
 	shedPause = 100 * time.Millisecond
@@ -61,7 +62,7 @@
 		return Refused{reason: ReasonQueueFull, seen: seen}
 	}
 	p.dispatch()
-	patience := time.NewTimer(time.Duration(roomShare * float64(ask.target)))
+	patience := time.NewTimer(min(time.Duration(roomShare*float64(ask.target)), roomMost))
 	defer patience.Stop()
 	select {
 	case granted := <-w.ready:
@@ -69,17 +70,38 @@
 	case <-ctx.Done():
 		return p.leave(w, ReasonCancelled, since, seen)
 	case <-patience.C:
-		return p.leave(w, ReasonOverload, since, seen)
+		return p.lastChance(w, since, seen)
 	}
 }
 
+// lastChance sends a call that has waited for room to a worker that is crowded
+// or slow, or refuses it.
+func (p *Pool) lastChance(w *waiter, since time.Time, seen Seen) Admission {
+	p.mutex.Lock()
+	removed := p.queue.remove(w)
+	p.mutex.Unlock()
+	if !removed {
+		return p.granted(<-w.ready, since, seen)
+	}
+	p.waiting.Add(-1)
+	worker, decision := p.try(p.reportedPolicy(&w.ask).Urgent(), &w.ask, &seen)
+	if _, ok := decision.(picker.Send); !ok {
+		return Refused{reason: ReasonOverload, waited: time.Since(since), seen: seen}
+	}
+	return p.granted(Granted{pool: p, worker: worker, target: w.ask.target, onBehalf: w.ask.onBehalf}, since, seen)
+}
+
 func (p *Pool) policyFor(ask *Ask) picker.Policy {
 	if !p.reported() {
 		return p.policy
 	}
+	return p.reportedPolicy(ask)
+}
+
+func (p *Pool) reportedPolicy(ask *Ask) picker.ReportedLoad {
 	policy := picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
-	if ask.spare {
-		return policy.Roomy()
+	if ask.near {
+		return policy.Near()
 	}
 	return policy
 }
@@ -108,7 +130,10 @@
 	if !p.reported() {
 		return c
 	}
-	return c.Loaded(w.Load(now), p.Calm(ask.target))
+	if ask.from.set {
+		c = c.At(ask.from.value.Distance(w.Member().Place()))
+	}
+	return c.Loaded(w.Load(now), p.Calm(ask.target)).Declining(w.DeclinedShare())
 }
 
 // observeCalm adds an answer to a class's mean latency at a worker that nothing
--- a/limiter/ruling.go
+++ b/limiter/ruling.go
@@ -13,7 +13,7 @@
 // worker is to take a call.
 type Decider func(ctx context.Context, p *Pool, ask Ask) Ruling
 
-// Ruling is the answer of a Decider: Assigned, Denied or Undecided.
+// Ruling is the answer of a Decider: Assigned, Taken, Denied or Undecided.
 type Ruling interface{ ruling() }
 
 // Assigned names the worker. What became of the call is to be told once.
@@ -22,6 +22,9 @@
 	done   func(Finding)
 }
 
+// Taken carries a slot that this instance already holds.
+type Taken struct{ granted Granted }
+
 // Denied says that no worker has room.
 type Denied struct{}
 
@@ -29,6 +32,7 @@
 type Undecided struct{}
 
 func (Assigned) ruling()  {}
+func (Taken) ruling()     {}
 func (Denied) ruling()    {}
 func (Undecided) ruling() {}
 
@@ -38,6 +42,18 @@
 	return Assigned{worker: worker, done: done}
 }
 
+// NewTaken returns the ruling for a slot of the pool itself.
+func NewTaken(granted Granted) Taken { return Taken{granted: granted} }
+
+// Granted returns the slot.
+func (t Taken) Granted() Granted { return t.granted }
+
+// Worker returns the worker that is to take the call.
+func (a Assigned) Worker() *tracker.Worker { return a.worker }
+
+// Done tells who decided what the call showed of the worker.
+func (a Assigned) Done(f Finding) { a.done(f) }
+
 // Finding is what a call showed of its worker.
 type Finding int32
 
@@ -75,6 +91,9 @@
 	switch r := p.decider(ctx, p, ask).(type) {
 	case Assigned:
 		return p.assigned(r, ask, since)
+	case Taken:
+		r.granted.waited = time.Since(since)
+		return r.granted
 	case Denied:
 		return Refused{reason: ReasonOverload, waited: time.Since(since)}
 	case Undecided:
@@ -94,10 +113,9 @@
 	}
 }
 
-// Decide grants a slot for a call of another instance, and never waits. The
-// decision Wait tells that the call may wait for room.
+// Decide grants a slot at once. The decision Wait tells that the call may wait
+// for room.
 func (p *Pool) Decide(ask Ask) (Granted, picker.Decision) {
-	ask.onBehalf = true
 	var seen Seen
 	if p.waiting.Load() > 0 && !ask.spare {
 		return Granted{}, picker.Wait{}
@@ -106,12 +124,11 @@
 	if _, ok := decision.(picker.Send); !ok {
 		return Granted{}, decision
 	}
-	return Granted{pool: p, worker: worker, target: ask.target, seen: seen, onBehalf: true}, decision
+	return Granted{pool: p, worker: worker, target: ask.target, seen: seen, onBehalf: ask.onBehalf}, decision
 }
 
-// AwaitRoom waits a little for room for a call of another instance.
+// AwaitRoom waits a little for room.
 func (p *Pool) AwaitRoom(ctx context.Context, ask Ask) Admission {
-	ask.onBehalf = true
 	return p.waitForRoom(ctx, ask, time.Now(), Seen{})
 }
 
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -55,6 +55,7 @@
 	avoid    bool
 	crowded  bool
 	full     bool
+	declines float32
 	remote   int32
 }
 
@@ -104,6 +105,9 @@
 // State tells whether the worker may be used.
 func (c Candidate) State() State { return c.state }
 
+// Far tells whether the worker is in another region.
+func (c Candidate) Far() bool { return c.distance >= farDistance }
+
 // Readmitted returns c as usable if it was ejected.
 func (c Candidate) Readmitted() Candidate {
 	if c.state == Ejected {
@@ -112,12 +116,24 @@
 	return c
 }
 
+// At returns c at another distance.
+func (c Candidate) At(distance int) Candidate {
+	c.distance = uint8(distance)
+	return c
+}
+
 // Loaded returns c with the latency to expect by the worker's load.
 func (c Candidate) Loaded(l Load, base time.Duration) Candidate {
 	c.latency, c.crowded, c.full = int64(l.Estimate(base)), l.Crowded(), l.Full()
 	return c
 }
 
+// Declining returns c of a worker that declines the given share of calls.
+func (c Candidate) Declining(share float64) Candidate {
+	c.declines = float32(share)
+	return c
+}
+
 // Capped returns c with a limit of at most the given calls.
 func (c Candidate) Capped(most int32) Candidate {
 	c.limit = min(c.limit, most)
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -42,12 +42,13 @@
 
 // ReportedLoad sends to the worker that is expected to answer first by what the
 // workers report of their load, with a toll for those farther away. Candidates
-// come with that expectation as their latency. Calls that could only be late,
-// for want of room and not of speed, wait.
+// come with that expectation as their latency. A call that finds no worker with
+// room that answers on time waits, until it is urgent.
 type ReportedLoad struct {
 	onTime time.Duration
 	most   time.Duration
-	roomy  bool
+	urgent bool
+	near   bool
 }
 
 // NewReportedLoad returns the policy for a call that is on time within onTime
@@ -272,6 +273,9 @@
 	// region has to save to be worth the way there and the traffic.
 	zoneToll   = 15 * time.Millisecond
 	regionToll = 120 * time.Millisecond
+	// queueShare is the part of the time left that a call may be expected to take
+	// where it has to wait for its turn.
+	queueShare = 0.8
 	// suspectToll is the time that a suspect worker has to save.
 	suspectToll = 100 * time.Millisecond
 )
@@ -287,16 +291,22 @@
 	return int64(zoneToll)
 }
 
-// Roomy returns p without workers that are crowded.
-func (p ReportedLoad) Roomy() ReportedLoad {
-	p.roomy = true
+// Urgent returns p for a call that has waited for room long enough.
+func (p ReportedLoad) Urgent() ReportedLoad {
+	p.urgent = true
 	return p
 }
 
-// pickReported takes the best worker with room that answers on time, or one that
-// is crowded and still on time, or one that has room and is late: it is slow for
-// reasons of its own, and takes nobody's turn. It leaves out workers that an
-// earlier attempt was sent to.
+// Near returns p without workers of other regions.
+func (p ReportedLoad) Near() ReportedLoad {
+	p.near = true
+	return p
+}
+
+// pickReported takes the best worker with room that answers on time, or else one
+// that is crowded and still on time. An urgent call also takes one that has room
+// and is late: that is slow for reasons of its own, and the call takes nobody's
+// turn. Workers that an earlier attempt was sent to are left out.
 func pickReported(candidates []Candidate, p ReportedLoad, rng *rand.Rand) Decision {
 	roomy, crowded, late, usable := newLeast(), newLeast(), newLeast(), false
 	for i := range candidates {
@@ -305,14 +315,17 @@
 			continue
 		}
 		usable = true
+		if p.near && c.distance >= farDistance {
+			continue
+		}
 		score := c.reportedScore(rng)
-		switch {
-		case c.latency > int64(p.most), c.full, p.roomy && c.crowded:
-		case c.latency <= int64(p.onTime) && !c.crowded:
+		switch onTime := c.latency <= int64(p.onTime); {
+		case c.latency > int64(p.most):
+		case onTime && !c.crowded:
 			roomy.offer(i, score, rng)
-		case c.latency <= int64(p.onTime):
+		case onTime && (!c.full || float64(c.latency) <= queueShare*float64(p.onTime)):
 			crowded.offer(i, score, rng)
-		case !c.crowded:
+		case !c.crowded && p.urgent:
 			late.offer(i, score, rng)
 		}
 	}
@@ -328,5 +341,6 @@
 	if c.state == Suspect {
 		varied += float64(suspectToll)
 	}
+	varied += float64(c.declines) * float64(suspectToll)
 	return int64(varied) + c.toll()
 }
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -63,6 +63,7 @@
 	begun        atomic.Int64 // Calls ever sent.
 	lent         atomic.Int32 // Calls in flight that are other instances'.
 	errors       atomic.Int64 // Moving share of failed calls, in millionths.
+	declines     atomic.Int64 // Moving share of declined calls, in millionths.
 	report       atomic.Pointer[Report]
 	peers        atomic.Pointer[[]peerCalls]
 }
@@ -195,10 +196,22 @@
 
 // noteError adds a call to the moving share of failed ones and returns it.
 func (w *Worker) noteError(failed float64) float64 {
+	moveShare(&w.declines, 0)
+	return moveShare(&w.errors, failed)
+}
+
+// Declined notes that the worker declined a call.
+func (w *Worker) Declined() { moveShare(&w.declines, 1) }
+
+// DeclinedShare returns the moving share of calls that the worker declined.
+func (w *Worker) DeclinedShare() float64 { return float64(w.declines.Load()) / perMillion }
+
+// moveShare adds a call to a moving share of calls and returns it.
+func moveShare(share *atomic.Int64, counts float64) float64 {
 	for {
-		old := w.errors.Load()
-		next := (1-errorWeight)*float64(old)/perMillion + errorWeight*failed
-		if w.errors.CompareAndSwap(old, int64(next*perMillion)) {
+		old := share.Load()
+		next := (1-errorWeight)*float64(old)/perMillion + errorWeight*counts
+		if share.CompareAndSwap(old, int64(next*perMillion)) {
 			return next
 		}
 	}
