Let an arbiter take other regions' calls to its own workers

Change: distances of the asker count within the region only; a watch is given 1.3 s to show what peers know, longer than its own pauses.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -153,7 +153,8 @@
 		return
 	}
 	request := lane.ask(m).OnBehalf()
-	if place, ok := v.places[m.Call.Asker]; ok {
+	// A call of another region may go to any worker of this one.
+	if place, ok := v.places[m.Call.Asker]; ok && place.Region() == a.self.Place().Region() {
 		request = request.From(place)
 	}
 	granted, decision := lane.pool.Decide(request.Near())
--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -45,13 +45,26 @@
 	for n := range workers {
 		members = append(members, registrar.NewWorker(registrar.WorkerID(fmt.Sprintf("w%d", n)), "s", "", here, 3, false))
 	}
+	r.open(c, members)
+	return r
+}
+
+// open starts an arbiter for each instance. The instances of its own region are
+// live to it.
+func (r *region) open(c *qt.C, members []registrar.Worker) {
 	service := descriptor.NewService("s", nil, nil)
 	d := descriptor.NewDeployment("d", descriptor.Measuring{}, []descriptor.Service{service}).WithRevision(1, descriptor.Change{})
 	for _, self := range r.instances {
 		p := publisher.New(self, publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})))
 		c.Assert(p.PublishDeployment(d, "test"), qt.IsNil)
 		p.PublishList(registrar.NewList(1, members, r.instances))
-		a, err := arbiter.New(self, p, func() []registrar.Instance { return r.instances }, zerolog.Nop())
+		var live []registrar.Instance
+		for _, i := range r.instances {
+			if i.Place().Region() == self.Place().Region() {
+				live = append(live, i)
+			}
+		}
+		a, err := arbiter.New(self, p, func() []registrar.Instance { return live }, zerolog.Nop())
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(a.Close)
 		pool := p.Current().Lane("s").Pool()
@@ -60,7 +73,6 @@
 			pool.Reported(w, tracker.NewReport(0, 0, 3, 1, pool.Now()))
 		}
 	}
-	return r
 }
 
 func ask() limiter.Ask {
@@ -145,3 +157,30 @@
 	_, ok = r.arbiters[1-silent].Decide(context.Background(), r.pools[1-silent], ask()).(limiter.Undecided)
 	c.Assert(ok, qt.IsTrue)
 }
+
+// When all workers of a region are in a slow spell, its calls go to a worker of
+// another region that has room, and not to a slow one.
+func TestACallGoesToAnotherRegionWhenItsOwnIsSlow(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := qt.New(t)
+	r := &region{}
+	var members []registrar.Worker
+	for _, name := range []string{"slow", "calm"} {
+		place := registrar.NewPlace(name, name+"-a")
+		i := registrar.NewInstance(registrar.InstanceID("in-"+name), "", "", place, false)
+		r.instances = append(r.instances, i.WithRulings(freeAddress(c)))
+		members = append(members, registrar.NewWorker(registrar.WorkerID(name), "s", "", place, 3, false))
+	}
+	r.open(c, members)
+	slow := r.pools[0]
+	slow.Reported(slow.Find("slow"), tracker.NewReport(0, 0, 3, 7, slow.Now()))
+	now := time.Now()
+	request := limiter.NewAsk(time.Second, now.Add(time.Minute)).OnTimeUntil(now.Add(time.Second))
+	ruling, ok := r.arbiters[0].Decide(context.Background(), slow, request).(limiter.Assigned)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(ruling.Worker().ID(), qt.Equals, registrar.WorkerID("calm"))
+	ruling.Done(limiter.FoundGood)
+	for r.held() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -88,6 +88,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 	}
 	log := zerolog.New(output).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
+	log.Info().Str("region", settings.Place().Region()).Str("zone", settings.Place().Zone()).Msg("instance starts")
 	c := &Conductor{settings: settings, log: log}
 	c.layCalls()
 	if err := c.layChanges(); err != nil {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -25,7 +25,7 @@
 	// writer may have been unable to renew its lease meanwhile.
 	returnGrace = 2 * time.Second
 	// newsPatience is how long a watch has to show what others know already.
-	newsPatience = 600 * time.Millisecond
+	newsPatience = 1300 * time.Millisecond
 	// wakeEvery is how often peers' words may end a wait.
 	wakeEvery = 2 * time.Second
 	// watchMost is how long keys are followed by watches alone.
