--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -34,6 +34,7 @@
 	"github.com/go-faster/errors"
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 const (
@@ -56,12 +57,17 @@
 	readyTimeout  = 5 * time.Second
 	recentKept    = 256
 	decisionsKept = 1024
+	// linesKept log lines wait for an output that does not take them.
+	linesKept = 1024
 )
 
+var linesLost = metrics.NewCounter("burdocklane_log_lines_lost_total")
+
 // Conductor is a running instance.
 type Conductor struct {
 	settings   adapter.Settings
 	log        zerolog.Logger
+	lines      io.Closer
 	asserter   *asserter.Asserter
 	recorder   *recorder.Recorder
 	publisher  *publisher.Publisher
@@ -87,9 +93,10 @@
 	if settings.MemoryBytes() > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 	}
-	log := zerolog.New(output).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
+	lines := diode.NewWriter(output, linesKept, 0, func(missed int) { linesLost.Add(missed) })
+	log := zerolog.New(lines).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
 	log.Info().Str("region", settings.Place().Region()).Str("zone", settings.Place().Zone()).Msg("instance starts")
-	c := &Conductor{settings: settings, log: log}
+	c := &Conductor{settings: settings, log: log, lines: lines}
 	c.layCalls()
 	if err := c.layChanges(); err != nil {
 		c.Close() //nolint:errcheck // The first error tells more.
@@ -262,5 +269,8 @@
 	c.closeStore()
 	c.recorder.Close()
 	c.log.Info().Err(err).Msg("instance is closed")
+	if closeErr := c.lines.Close(); err == nil {
+		return closeErr
+	}
 	return err
 }
