Let a council of two instances a zone check, decide and keep each other informed

Change: reports go to the council alone, others are only told who lives; an instance whose entry of an earlier start still stands does not write it again, and writes one that has gone; watches pause for a sixth of the time that a change has.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -241,8 +241,9 @@
 // view is what a snapshot means to the arbiter. It is immutable.
 type view struct {
 	snapshot *publisher.Snapshot
-	lanes    map[uint32]*lane           // By the hash of the service's name.
-	places   map[uint32]registrar.Place // By the hash of the instance's ID.
+	lanes    map[uint32]*lane                // By the hash of the service's name.
+	places   map[uint32]registrar.Place      // By the hash of the instance's ID.
+	councils map[string][]registrar.Instance // Of the other regions.
 }
 
 type lane struct {
@@ -254,19 +255,24 @@
 func (a *Arbiter) current() *view {
 	v := a.view.Load()
 	if snapshot := a.publisher.Current(); v.snapshot != snapshot {
-		v = newView(snapshot)
+		v = newView(snapshot, a.self.Place().Region())
 		a.view.Store(v)
 	}
 	return v
 }
 
-func newView(s *publisher.Snapshot) *view {
+func newView(s *publisher.Snapshot, own string) *view {
 	v := &view{
 		snapshot: s, lanes: make(map[uint32]*lane, len(s.Lanes())),
-		places: make(map[uint32]registrar.Place, len(s.List().Instances())),
+		places:   make(map[uint32]registrar.Place, len(s.List().Instances())),
+		councils: map[string][]registrar.Instance{},
 	}
 	for _, instance := range s.List().Instances() {
 		v.places[hashOf(instance.ID())] = instance.Place()
+		region := instance.Place().Region()
+		if _, known := v.councils[region]; !known && region != own {
+			v.councils[region] = registrar.Council(s.List().Instances(), region)
+		}
 	}
 	for name, l := range s.Lanes() {
 		workers := l.Pool().Workers()
--- a/arbiter/asker.go
+++ b/arbiter/asker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"burdocklane/limiter"
@@ -81,17 +82,12 @@
 
 // askFar asks the arbiter of another region for a worker that has room to spare.
 func (a *Arbiter) askFar(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
-	regions := map[string][]registrar.Instance{}
-	for _, instance := range a.publisher.Current().List().Instances() {
-		region := instance.Place().Region()
-		if region != a.self.Place().Region() && !a.isSilent(instance) {
-			regions[region] = append(regions[region], instance)
+	for _, council := range a.current().councils { // In random order.
+		council = slices.DeleteFunc(slices.Clone(council), a.isSilent)
+		if len(council) > 0 {
+			return a.askAt(ctx, p, request.Hurried(), highest(council, p, council[0]), farTimeout)
 		}
 	}
-	for _, instances := range regions { // In random order.
-		arbiter := highest(instances, p, instances[0])
-		return a.askAt(ctx, p, request.Hurried(), arbiter, farTimeout)
-	}
 	return limiter.Denied{}
 }
 
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -112,7 +112,7 @@
 
 func (c *Conductor) self() registrar.Instance {
 	return registrar.NewInstance(c.settings.Instance(), c.settings.Peers(), "", c.settings.Place(), false).
-		WithRulings(c.settings.Rulings())
+		WithRulings(c.settings.Rulings()).WithPower(c.settings.Power())
 }
 
 // layCalls puts the filters of a call in a row.
@@ -133,7 +133,7 @@
 // layChanges puts the filters of a change in a row.
 func (c *Conductor) layChanges() error {
 	c.directory = adapter.NewDirectory(c.settings, c.log)
-	c.store, c.closeStore = adapter.NewStore(c.settings.Store())
+	c.store, c.closeStore = adapter.NewStore(c.settings.Store(), c.settings.ChangeTime())
 	var err error
 	c.registrant, err = registrant.New(c.store, adapter.InstancePrefix, c.self(), c.log)
 	if err != nil {
@@ -165,6 +165,7 @@
 // learn puts what the store holds in force.
 func (c *Conductor) learn(pairs []storer.Pair) {
 	list, changed := c.directory.Read(pairs)
+	c.registrant.Seen(pairs)
 	if changed != nil {
 		if err := c.publisher.PublishDeployment(*changed, "store"); err != nil {
 			c.log.Warn().Err(err).Msg("an older configuration was ignored")
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -102,8 +102,8 @@
 	i.running.Wait()
 }
 
-// Live returns this instance and the instances of its region that have been
-// heard of late. The caller must not change the slice.
+// Live returns the members of the region's council that have been heard of late,
+// or this instance alone if there are none. The caller must not change the slice.
 func (i *Informer) Live() []registrar.Instance { return *i.alive.Load() }
 
 func (i *Informer) now() time.Duration { return time.Since(i.started) }
@@ -118,8 +118,10 @@
 		case <-ticker.C:
 			v := i.current()
 			i.check(ctx, v)
-			i.tell(v)
-			if turn%farEvery == 0 {
+			if v.member {
+				i.tell(v)
+			}
+			if v.member && turn%farEvery == 0 {
 				i.tellFar(v)
 			}
 		}
@@ -153,16 +155,19 @@
 	}
 }
 
-// live returns this instance and the peers that have been heard of late.
+// live returns the members of the council that have been heard of late. An
+// instance that hears of none is a council by itself.
 func (i *Informer) live(v *view) []peer {
 	oldest := int64(i.now() - peerSilence)
-	live := make([]peer, 0, len(v.peers)+1)
-	live = append(live, peer{hash: i.hash, instance: i.self})
-	for _, p := range v.peers {
+	live := make([]peer, 0, len(v.council)+1)
+	for _, p := range v.council {
 		if at, ok := i.heard.Load(p.hash); ok && at.(*atomic.Int64).Load() > oldest {
 			live = append(live, p)
 		}
 	}
+	if v.member || len(live) == 0 {
+		live = append(live, peer{hash: i.hash, instance: i.self})
+	}
 	return live
 }
 
@@ -231,23 +236,23 @@
 	}
 }
 
-// tell sends the peers of the region what this instance has learnt itself since
-// the last time.
+// tell sends the council what this instance has learnt itself since the last
+// time. The other instances are only told that this one lives.
 func (i *Informer) tell(v *view) {
-	if len(v.peers) == 0 {
-		return
-	}
 	var records []record
 	for _, t := range v.targets {
 		if r, ok := t.news(); ok {
 			records = append(records, r)
 		}
 	}
-	if len(records) == 0 && i.now()-i.toldAt < quietMost {
-		return
+	quiet := i.now()-i.toldAt >= quietMost
+	if quiet {
+		i.toldAt = i.now()
+		i.send(nil, v.rest()...)
+	}
+	if len(records) > 0 || quiet {
+		i.send(records, v.council...)
 	}
-	i.toldAt = i.now()
-	i.send(records, v.peers...)
 }
 
 // tellFar tells a peer of another region how far the store is.
--- a/informer/view.go
+++ b/informer/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 
 	"burdocklane/publisher"
 	"burdocklane/registrar"
@@ -16,6 +17,8 @@
 	targets  []*target
 	byHash   map[uint32]*target
 	peers    []peer // Of the region.
+	council  []peer // Of the region, without this instance.
+	member   bool   // Whether this instance is in the council.
 	far      []peer // Of other regions.
 }
 
@@ -45,6 +48,11 @@
 			v.byHash[t.hash] = t
 		}
 	}
+	inCouncil := map[registrar.InstanceID]bool{}
+	for _, instance := range registrar.Council(s.List().Instances(), self.Place().Region()) {
+		inCouncil[instance.ID()] = true
+	}
+	v.member = inCouncil[self.ID()]
 	for _, instance := range s.List().Instances() {
 		if instance.ID() == self.ID() {
 			continue
@@ -56,6 +64,9 @@
 		p := peer{hash: hashOf(string(instance.ID())), instance: instance, address: address}
 		if instance.Place().Region() == self.Place().Region() {
 			v.peers = append(v.peers, p)
+			if inCouncil[instance.ID()] {
+				v.council = append(v.council, p)
+			}
 			continue
 		}
 		v.far = append(v.far, p)
@@ -63,4 +74,15 @@
 	return v
 }
 
+// rest returns the peers of the region that are not in the council.
+func (v *view) rest() []peer {
+	rest := make([]peer, 0, len(v.peers))
+	for _, p := range v.peers {
+		if !slices.ContainsFunc(v.council, func(c peer) bool { return c.hash == p.hash }) {
+			rest = append(rest, p)
+		}
+	}
+	return rest
+}
+
 func hashOf(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -3,8 +3,11 @@
 package registrant
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,11 +29,12 @@
 
 // message is the value of an instance's entry.
 type message struct {
-	ID      string `json:"id"`
-	Peers   string `json:"peers"`
-	Rulings string `json:"rulings"`
-	Region  string `json:"region"`
-	Zone    string `json:"availability-zone"`
+	ID      string  `json:"id"`
+	Peers   string  `json:"peers"`
+	Rulings string  `json:"rulings"`
+	Power   float64 `json:"power"`
+	Region  string  `json:"region"`
+	Zone    string  `json:"availability-zone"`
 }
 
 // Parse reads an instance's entry.
@@ -39,7 +43,7 @@
 	if err := json.Unmarshal(value, &m); err != nil {
 		return registrar.Instance{}, errors.Wrapf(err, "entry %s", key)
 	}
-	return registrar.NewInstance(registrar.InstanceID(m.ID), m.Peers, "", registrar.NewPlace(m.Region, m.Zone), false).WithRulings(m.Rulings), nil
+	return registrar.NewInstance(registrar.InstanceID(m.ID), m.Peers, "", registrar.NewPlace(m.Region, m.Zone), false).WithRulings(m.Rulings).WithPower(m.Power), nil
 }
 
 // Registrant writes the entry and keeps its lease.
@@ -49,6 +53,7 @@
 	value   []byte
 	log     zerolog.Logger
 	missing chan struct{}
+	found   chan bool // Whether the entry stands in the store at the start.
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -56,7 +61,7 @@
 // New starts a Registrant of the instance, whose entry stands under the prefix.
 func New(store storer.Store, prefix string, self registrar.Instance, log zerolog.Logger) (*Registrant, error) {
 	value, err := json.Marshal(message{
-		ID: string(self.ID()), Peers: self.Peers(), Rulings: self.Rulings(), Region: self.Place().Region(), Zone: self.Place().Zone(),
+		ID: string(self.ID()), Peers: self.Peers(), Rulings: self.Rulings(), Power: self.Power(), Region: self.Place().Region(), Zone: self.Place().Zone(),
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode instance entry")
@@ -64,7 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registrant{
 		store: store, key: prefix + string(self.ID()), value: value, log: log,
-		missing: make(chan struct{}, 1), cancel: cancel,
+		missing: make(chan struct{}, 1), found: make(chan bool, 1), cancel: cancel,
 	}
 	r.done.Go(func() { r.run(ctx) })
 	return r, nil
@@ -76,8 +81,19 @@
 	r.done.Wait()
 }
 
-// Missing tells that the entry is not in the store, though it was written.
-func (r *Registrant) Missing() {
+// Seen tells what stands in the store. An entry of an earlier start that is the
+// same is not written again; one that has gone is.
+func (r *Registrant) Seen(pairs []storer.Pair) {
+	there := slices.ContainsFunc(pairs, func(p storer.Pair) bool {
+		return p.Key() == r.key && bytes.Equal(p.Value(), r.value)
+	})
+	select {
+	case r.found <- there:
+	default:
+	}
+	if there {
+		return
+	}
 	select {
 	case r.missing <- struct{}{}:
 	default:
@@ -85,6 +101,14 @@
 }
 
 func (r *Registrant) run(ctx context.Context) {
+	select {
+	case same := <-r.found:
+		if same {
+			r.await(ctx)
+		}
+	case <-ctx.Done():
+		return
+	}
 	for ctx.Err() == nil {
 		lease, err := r.write(ctx)
 		if err != nil {
@@ -104,25 +128,35 @@
 	var txn storer.Txn
 	txn.PutLeased(r.key, r.value, lease)
 	_, err = storer.Commit(ctx, r.store, txn)
+	select {
+	case <-r.missing: // That it is missing has been seen before this write.
+	default:
+	}
 	return lease, err
 }
 
 // hold renews the lease until it or the entry has gone.
 func (r *Registrant) hold(ctx context.Context, lease int64) {
-	for {
-		timer := time.NewTimer(renewEvery)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-r.missing:
-			timer.Stop()
-			sleeper.Sleep(ctx, retryAfter)
-			return
-		case <-timer.C:
-		}
+	for r.await(ctx) {
 		if alive, err := storer.KeepAlive(ctx, r.store, lease); err == nil && !alive {
 			return
 		}
 	}
 }
+
+// await waits until the lease is to be renewed. It returns false if the entry is
+// to be written again, or not at all any more.
+func (r *Registrant) await(ctx context.Context) bool {
+	timer := time.NewTimer(renewEvery)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-r.missing:
+		r.log.Warn().Msg("entry of this instance has gone; writing it again")
+		sleeper.Sleep(ctx, rand.N(retryAfter))
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -101,6 +101,7 @@
 	place   Place
 	leaving bool
 	rulings string
+	power   float64
 }
 
 // NewInstance returns an instance with the host:port of its peers' and admin
@@ -124,6 +125,15 @@
 	return i
 }
 
+// WithPower returns a copy of i that has the given share of a processor.
+func (i Instance) WithPower(cores float64) Instance {
+	i.power = cores
+	return i
+}
+
+// Power returns the instance's share of a processor, or 0 if it is not known.
+func (i Instance) Power() float64 { return i.power }
+
 // Rulings returns host:port at which the instance decides for its region, or "".
 func (i Instance) Rulings() string { return i.rulings }
 
--- a/retrier/hedge.go
+++ b/retrier/hedge.go
@@ -59,7 +59,7 @@
 	if o.pace >= slowPace {
 		return Hedge{}
 	}
-	switch s := hedgeAt(time.Duration(lateFactor*float64(o.usual)), elapsed).(type) {
+	switch s := hedgeAt(max(time.Duration(lateFactor*float64(o.usual)), lookAgain), elapsed).(type) {
 	case Later:
 		return Later{delay: min(s.delay, lookAgain)}
 	default:
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -76,7 +76,7 @@
 }
 
 // pauseGrowth times the first pause is the longest.
-const pauseGrowth = 4
+const pauseGrowth = 3
 
 // nextPause doubles the pause while changes come without an end.
 func (r *Remote) nextPause(last, waited time.Duration) time.Duration {
