--- a/informer/informer.go
+++ b/informer/informer.go
@@ -143,7 +143,7 @@
 	live := i.live(v)
 	i.showLive(live)
 	for _, t := range v.targets {
-		if t.path == "" || t.worker.ReportAge(t.pool.Now()) < freshAge || !i.mine(t, live) {
+		if !t.due() || !i.mine(t, live) {
 			continue
 		}
 		if t.state.busy.CompareAndSwap(false, true) {
--- a/informer/target.go
+++ b/informer/target.go
@@ -24,6 +24,13 @@
 	calls atomic.Int32 // The calls that were last told.
 }
 
+// due tells whether the worker is to be checked: its report is old, and it is
+// neither leaving nor has its address gone to another worker.
+func (t *target) due() bool {
+	now := t.pool.Now()
+	return t.path != "" && t.worker.ReportAge(now) >= freshAge && t.worker.LeavingFor(now) == 0
+}
+
 // news returns what is new of the worker, if this instance learnt it itself.
 func (t *target) news() (record, bool) {
 	calls := t.worker.Own()
