--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -2,15 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"time"
 
+	"burdocklane/decoder"
 	"burdocklane/limiter"
 	"burdocklane/tracker"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // A datagram is one message in network byte order. Its first byte tells the kind.
@@ -103,20 +101,10 @@
 	pool.Reported(w, report.Heard())
 }
 
-// DatagramError reports a datagram that cannot be read.
-type DatagramError struct{ reason string }
-
-// Error implements error.
-func (e *DatagramError) Error() string { return fmt.Sprintf("datagram: %s", e.reason) }
-
-func encode(message any) ([]byte, error) {
-	return binary.Append(nil, binary.BigEndian, message)
-}
-
 // decode returns an ask, a ruling or a done.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
-		return nil, &DatagramError{reason: "is empty"}
+		return nil, decoder.NewDatagramError("is empty")
 	}
 	var message any
 	switch kind(data[0]) {
@@ -127,16 +115,14 @@
 	case kindDone:
 		message = &done{}
 	default:
-		return nil, &DatagramError{reason: fmt.Sprintf("kind %d", data[0])}
+		return nil, decoder.NewDatagramError(fmt.Sprintf("kind %d", data[0]))
 	}
-	if err := binary.Read(bytes.NewReader(data), binary.BigEndian, message); err != nil {
-		return nil, &DatagramError{reason: err.Error()}
+	if err := decoder.Read(bytes.NewReader(data), message); err != nil {
+		return nil, err
 	}
 	return message, nil
 }
 
-func hashOf[T ~string](text T) uint32 { return uint32(xxhash.Sum64String(string(text))) }
-
 func milliseconds(d time.Duration) uint16 {
 	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
 }
--- a/arbiter/message_test.go
+++ b/arbiter/message_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"burdocklane/decoder"
+
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
 )
@@ -19,13 +21,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			data, err := encode(test.message)
+			data, err := decoder.Append(nil, test.message)
 			c.Assert(err, qt.IsNil)
 			got, err := decode(data)
 			c.Assert(err, qt.IsNil)
 			c.Assert(got, qt.DeepEquals, test.message)
 			_, err = decode(data[:len(data)-1])
-			var bad *DatagramError
+			var bad *decoder.DatagramError
 			c.Assert(errors.As(err, &bad), qt.IsTrue)
 		})
 	}
@@ -35,7 +37,7 @@
 	f.Add([]byte{1, 2, 3})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if message, err := decode(data); err == nil {
-			_, err := encode(message)
+			_, err := decoder.Append(nil, message)
 			qt.Assert(t, err, qt.IsNil)
 		}
 	})
--- a/informer/message.go
+++ b/informer/message.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"time"
 
+	"burdocklane/decoder"
 	"burdocklane/tracker"
 )
 
@@ -43,12 +43,6 @@
 	mostCount  = math.MaxUint8
 )
 
-// DatagramError reports a datagram that cannot be read.
-type DatagramError struct{ reason string }
-
-// Error implements error.
-func (e *DatagramError) Error() string { return fmt.Sprintf("datagram: %s", e.reason) }
-
 func small[T int32 | int64](v T) uint8 { return uint8(min(max(int64(v), 0), math.MaxUint8)) }
 
 func (r *record) setReport(report tracker.Report, now time.Duration) {
@@ -65,26 +59,22 @@
 
 func encode(sender uint32, revision int64, records []record) ([]byte, error) {
 	records = records[:min(len(records), mostCount)]
-	var b bytes.Buffer
-	if err := binary.Write(&b, binary.BigEndian, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision}); err != nil {
+	data, err := decoder.Append(nil, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision})
+	if err != nil {
 		return nil, err
 	}
-	err := binary.Write(&b, binary.BigEndian, records)
-	return b.Bytes(), err
+	return decoder.Append(data, records)
 }
 
 func decode(data []byte) (header, []record, error) {
 	r := bytes.NewReader(data)
 	var h header
-	if err := binary.Read(r, binary.BigEndian, &h); err != nil {
-		return h, nil, &DatagramError{reason: err.Error()}
+	if err := decoder.Read(r, &h); err != nil {
+		return h, nil, err
 	}
 	if h.Version != formatVersion {
-		return h, nil, &DatagramError{reason: fmt.Sprintf("version %d", h.Version)}
+		return h, nil, decoder.NewDatagramError(fmt.Sprintf("version %d", h.Version))
 	}
 	records := make([]record, h.Count)
-	if err := binary.Read(r, binary.BigEndian, records); err != nil {
-		return h, nil, &DatagramError{reason: err.Error()}
-	}
-	return h, records, nil
+	return h, records, decoder.Read(r, records)
 }
--- a/informer/message_test.go
+++ b/informer/message_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"burdocklane/decoder"
 	"burdocklane/tracker"
 
 	qt "github.com/frankban/quicktest"
@@ -32,7 +33,7 @@
 			c.Assert(from.Revision, qt.Equals, int64(77))
 			c.Assert(got, qt.DeepEquals, test.records)
 			_, _, err = decode(data[:len(data)-1])
-			var bad *DatagramError
+			var bad *decoder.DatagramError
 			c.Assert(errors.As(err, &bad), qt.IsTrue)
 		})
 	}
--- a/informer/view.go
+++ b/informer/view.go
@@ -6,8 +6,6 @@
 
 	"burdocklane/publisher"
 	"burdocklane/registrar"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // view is what a snapshot means to the informer: the workers and the peers of
@@ -40,7 +38,7 @@
 			if w.Distance() > regionalSteps || w.Member().Leaving() {
 				continue
 			}
-			t := &target{worker: w, pool: lane.Pool(), path: service.HealthPath(), hash: hashOf(string(w.ID()) + "@" + w.Address()), state: &state{}}
+			t := &target{worker: w, pool: lane.Pool(), path: service.HealthPath(), hash: registrar.Hash(string(w.ID()) + "@" + w.Address()), state: &state{}}
 			if before := old.byHash[t.hash]; before != nil {
 				t.state = before.state
 			}
@@ -61,7 +59,7 @@
 		if err != nil {
 			continue
 		}
-		p := peer{hash: hashOf(string(instance.ID())), instance: instance, address: address}
+		p := peer{hash: registrar.Hash(string(instance.ID())), instance: instance, address: address}
 		if instance.Place().Region() == self.Place().Region() {
 			v.peers = append(v.peers, p)
 			if inCouncil[instance.ID()] {
@@ -84,5 +82,3 @@
 	}
 	return rest
 }
-
-func hashOf(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
--- a/listener/dialect_test.go
+++ b/listener/dialect_test.go
@@ -100,7 +100,7 @@
 		{"another worker has the address", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		}, []int{200}, 1},
-		{"a failure of the worker's own is passed on", descriptor.AtMostOnce{}, func(w http.ResponseWriter, r *http.Request) {
+		{"a failure of the worker's own is passed on", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Signed", "yes")
 			w.WriteHeader(http.StatusInternalServerError)
 		}, []int{200, 500}, 1},
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 )
 
 // Policy is a way to choose a worker: one of Random, RoundRobin,
@@ -40,23 +39,6 @@
 // NewOverflow returns the policy; far allows workers of other regions.
 func NewOverflow(far bool) Overflow { return Overflow{far: far} }
 
-// ReportedLoad sends to the worker that is expected to answer first by what the
-// workers report of their load, with a toll for those farther away. Candidates
-// come with that expectation as their latency. A call that finds no worker with
-// room that answers on time waits, until it is urgent.
-type ReportedLoad struct {
-	onTime time.Duration
-	most   time.Duration
-	urgent bool
-	near   bool
-}
-
-// NewReportedLoad returns the policy for a call that is on time within onTime
-// and of no use after most.
-func NewReportedLoad(onTime, most time.Duration) ReportedLoad {
-	return ReportedLoad{onTime: onTime, most: most}
-}
-
 func (ReportedLoad) policy()  {}
 func (Random) policy()        {}
 func (RoundRobin) policy()    {}
@@ -264,83 +246,3 @@
 }
 
 func routable(s State) bool { return s == Usable || s == Suspect }
-
-const (
-	// spread is the share by which expectations are varied, so that instances
-	// that know the same do not all choose the same worker.
-	spread = 0.1
-	// zoneToll and regionToll are the time that a worker in another zone or
-	// region has to save to be worth the way there and the traffic.
-	zoneToll   = 15 * time.Millisecond
-	regionToll = 120 * time.Millisecond
-	// queueShare is the part of the time left that a call may be expected to take
-	// where it has to wait for its turn.
-	queueShare = 0.8
-	// suspectToll is the time that a suspect worker has to save.
-	suspectToll = 100 * time.Millisecond
-)
-
-// toll is the worth, as time, of the traffic to the worker's place.
-func (c *Candidate) toll() int64 {
-	switch c.distance {
-	case 0:
-		return 0
-	case farDistance:
-		return int64(regionToll)
-	}
-	return int64(zoneToll)
-}
-
-// Urgent returns p for a call that has waited for room long enough.
-func (p ReportedLoad) Urgent() ReportedLoad {
-	p.urgent = true
-	return p
-}
-
-// Near returns p without workers of other regions.
-func (p ReportedLoad) Near() ReportedLoad {
-	p.near = true
-	return p
-}
-
-// pickReported takes the best worker with room that answers on time, or else one
-// that is crowded and still on time. An urgent call also takes one that has room
-// and is late: that is slow for reasons of its own, and the call takes nobody's
-// turn. Workers that an earlier attempt was sent to are left out.
-func pickReported(candidates []Candidate, p ReportedLoad, rng *rand.Rand) Decision {
-	roomy, crowded, late, usable := newLeast(), newLeast(), newLeast(), false
-	for i := range candidates {
-		c := &candidates[i]
-		if !routable(c.state) || c.avoid {
-			continue
-		}
-		usable = true
-		if p.near && c.distance >= farDistance {
-			continue
-		}
-		score := c.reportedScore(rng)
-		switch onTime := c.latency <= int64(p.onTime); {
-		case c.latency > int64(p.most):
-		case onTime && !c.crowded:
-			roomy.offer(i, score, rng)
-		case onTime && (!c.full || float64(c.latency) <= queueShare*float64(p.onTime)):
-			crowded.offer(i, score, rng)
-		case !c.crowded && p.urgent:
-			late.offer(i, score, rng)
-		}
-	}
-	if !usable {
-		return Refuse{}
-	}
-	return roomy.or(crowded.or(late.or(Wait{})))
-}
-
-// reportedScore is the expected latency, varied and with the tolls.
-func (c *Candidate) reportedScore(rng *rand.Rand) int64 {
-	varied := float64(c.latency) * (1 + spread*rng.Float64())
-	if c.state == Suspect {
-		varied += float64(suspectToll)
-	}
-	varied += float64(c.declines) * float64(suspectToll)
-	return int64(varied) + c.toll()
-}
