--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -178,12 +178,13 @@
 
 // assign tells the asker how its call was decided.
 func (a *Arbiter) assign(m ask, lane *lane, decided limiter.Ruling, to *net.UDPAddr) {
+	start := time.Now()
 	g := &grant{pool: lane.pool, until: time.Now().Add(time.Duration(m.LeftMs)*time.Millisecond + doneSlack)}
 	switch r := decided.(type) {
 	case limiter.Taken:
 		g.worker = r.Granted().Worker()
 		g.finish = func(f limiter.Finding) {
-			lane.pool.Found(r.Granted(), f)
+			lane.pool.Found(r.Granted(), f, time.Since(start))
 			r.Granted().Release()
 		}
 	case limiter.Assigned:
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -203,6 +203,9 @@
 	expected time.Duration
 }
 
+// Expected returns the time that the call was expected to take, or 0.
+func (s Seen) Expected() time.Duration { return s.expected }
+
 // String returns the counts in a fixed form for logs and explain.
 func (s Seen) String() string {
 	counts := fmt.Sprintf("total=%d usable=%d free=%d in-flight=%d queued=%d",
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -56,15 +56,16 @@
 	started    time.Time
 	rng        *rand.Rand
 
-	roster  atomic.Pointer[roster]
-	turn    atomic.Uint64
-	mean    atomic.Int64
-	calm    sync.Map                // From a class's target to its *atomic.Int64, the mean latency at the usual pace.
-	near    [distances]atomic.Int64 // Mean latency by distance.
-	far     *budgeter.Share
-	waiting atomic.Int32
-	usual   atomic.Int64 // Moving average of the calls in flight, in thousandths.
-	held    atomic.Int32 // Calls in flight.
+	roster   atomic.Pointer[roster]
+	turn     atomic.Uint64
+	mean     atomic.Int64
+	calm     sync.Map                // From a class's target to its *atomic.Int64, the mean latency at the usual pace.
+	near     [distances]atomic.Int64 // Mean latency by distance.
+	crowding atomic.Int64            // How much slower crowded workers are, in thousandths.
+	far      *budgeter.Share
+	waiting  atomic.Int32
+	usual    atomic.Int64 // Moving average of the calls in flight, in thousandths.
+	held     atomic.Int32 // Calls in flight.
 
 	mutex sync.Mutex // Guards queue, and is never held across a call.
 	queue *queue
@@ -117,6 +118,7 @@
 		opt(p)
 	}
 	p.roster.Store(&roster{})
+	p.crowding.Store(picker.CrowdedFactor * perThousand)
 	return p
 }
 
--- a/limiter/report.go
+++ b/limiter/report.go
@@ -57,7 +57,7 @@
 	g.found(FoundGood)
 	g.worker.Succeeded(latency, p.Now())
 	p.observe(latency, g.worker.Distance())
-	p.observeCalm(g, latency)
+	p.observeLoad(g, latency)
 }
 
 // Failed notes that the worker failed a call.
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -17,6 +17,11 @@
 	// refusal after that still leaves the caller time to come back.
 	roomShare = 0.125
 	roomMost  = 50 * time.Millisecond
+	// crowdingWeight is the share of a new answer in the moving factor by which
+	// crowded workers are slower, which is at most crowdingMost.
+	crowdingWeight = 0.02
+	crowdingMost   = 3.0
+	perThousand    = 1000
 	// shedPause is how long a worker that declined a call without naming a time
 	// is left alone.
 	shedPause = 100 * time.Millisecond
@@ -133,20 +138,40 @@
 	if ask.from.set {
 		c = c.At(ask.from.value.Distance(w.Member().Place()))
 	}
-	return c.Loaded(w.Load(now), p.Calm(ask.target)).Declining(w.DeclinedShare())
+	return c.Loaded(p.load(w, now), p.Calm(ask.target)).Declining(w.DeclinedShare())
 }
 
-// observeCalm adds an answer to a class's mean latency at a worker that nothing
-// holds up. Answers of other workers tell nothing of it.
-func (p *Pool) observeCalm(g Granted, latency time.Duration) {
-	if !p.reported() || !g.seen.chosen.Calm() || !g.worker.Load(p.Now()).AtPace() {
+// load returns what is known of a worker's load.
+func (p *Pool) load(w *tracker.Worker, now time.Duration) picker.Load {
+	return w.Load(now).Crowding(float64(p.crowding.Load()) / perThousand)
+}
+
+// observeLoad learns from an answer of a worker at its usual pace: a class's
+// mean latency where nothing holds the call up, and how much slower crowded
+// workers are.
+func (p *Pool) observeLoad(g Granted, latency time.Duration) {
+	if !p.reported() || !g.seen.chosen.AtPace() || !g.worker.Load(p.Now()).AtPace() {
 		return
 	}
-	calm, ok := p.calm.Load(g.target)
-	if !ok {
-		calm, _ = p.calm.LoadOrStore(g.target, &atomic.Int64{})
+	switch {
+	case g.seen.chosen.Calm():
+		calm, ok := p.calm.Load(g.target)
+		if !ok {
+			calm, _ = p.calm.LoadOrStore(g.target, &atomic.Int64{})
+		}
+		average(calm.(*atomic.Int64), latency)
+	case g.seen.chosen.Crowded() && !g.seen.chosen.Full():
+		p.observeCrowding(float64(latency) / float64(p.Calm(g.target)))
 	}
-	average(calm.(*atomic.Int64), latency)
+}
+
+// observeCrowding moves the factor towards one that was seen. A worker that is
+// crowded is not faster for it.
+func (p *Pool) observeCrowding(factor float64) {
+	factor = min(max(factor, 1), crowdingMost)
+	old := p.crowding.Load()
+	next := (1-crowdingWeight)*float64(old) + crowdingWeight*factor*perThousand
+	p.crowding.CompareAndSwap(old, int64(next))
 }
 
 // Outlook returns the time that a call usually takes and the pace to expect of
@@ -165,6 +190,6 @@
 // noteChosen keeps what a decision was made from, for the log.
 func (p *Pool) noteChosen(seen *Seen, w *tracker.Worker, c picker.Candidate, now time.Duration) {
 	if p.reported() {
-		seen.chosen, seen.expected = w.Load(now), time.Duration(c.Latency())
+		seen.chosen, seen.expected = p.load(w, now), time.Duration(c.Latency())
 	}
 }
--- a/limiter/reported_test.go
+++ b/limiter/reported_test.go
@@ -182,3 +182,39 @@
 		})
 	}
 }
+
+// Where the last slots do not slow a worker down, that is learnt, and a burst may
+// use them all; where they do, it is not.
+func TestTheCostOfCrowdingIsLearnt(t *testing.T) {
+	tests := []struct {
+		name    string
+		crowded time.Duration // Time of a call at a worker with one slot left.
+		want    float64       // The expected time there, in proportion to a calm one.
+	}{
+		{"workers that do not slow down", 60 * time.Millisecond, 1},
+		{"workers that slow down", 102 * time.Millisecond, 1.7},
+		{"workers that slow down a lot", 180 * time.Millisecond, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := catalogue(1)
+			answer := func(running int32, took time.Duration) limiter.Seen {
+				reportAll(p, running, 1)
+				granted, ok := p.Acquire(context.Background(), askFor()).(limiter.Granted)
+				c.Assert(ok, qt.IsTrue)
+				p.Answered(granted, took, false)
+				granted.Release()
+				return granted.Seen()
+			}
+			for range 400 {
+				answer(0, 60*time.Millisecond)
+				answer(2, test.crowded)
+			}
+			calm := answer(0, 60*time.Millisecond).Expected()
+			crowded := answer(2, test.crowded).Expected()
+			got := float64(crowded) / float64(calm)
+			c.Assert(got > test.want-0.05 && got < test.want+0.05, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
--- a/limiter/ruling.go
+++ b/limiter/ruling.go
@@ -103,7 +103,7 @@
 
 func (p *Pool) assigned(r Assigned, ask Ask, since time.Time) Granted {
 	now := p.Now()
-	seen := Seen{chosen: r.worker.Load(now)}
+	seen := Seen{chosen: p.load(r.worker, now)}
 	seen.expected = seen.chosen.Estimate(p.Calm(ask.target))
 	r.worker.Acquire(now)
 	p.noteHeld(1)
@@ -132,11 +132,13 @@
 	return p.waitForRoom(ctx, ask, time.Now(), Seen{})
 }
 
-// Found takes over what another instance's call showed of its worker.
-func (p *Pool) Found(g Granted, f Finding) {
+// Found takes over what another instance's call showed of its worker, and how
+// long it held the slot.
+func (p *Pool) Found(g Granted, f Finding, held time.Duration) {
 	switch f {
 	case FoundGood:
 		g.worker.Fine()
+		p.observeLoad(g, held)
 	case FoundFailing:
 		p.Failed(g)
 	case FoundFull:
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -15,8 +15,9 @@
 	// crowdedShare of a worker's slots in use is where workers start to slow
 	// down.
 	crowdedShare = 0.8
-	// crowdedFactor is how much slower a worker is beyond crowdedShare.
-	crowdedFactor = 1.7
+	// CrowdedFactor is how much slower a worker beyond crowdedShare is taken to be
+	// before any has shown it.
+	CrowdedFactor = 1.7
 	// coldFactor is how much slower a worker is that has just started.
 	coldFactor = 2.0
 	// calmPace is the pace under which a worker is not slowed by its machine.
@@ -28,25 +29,26 @@
 // Load is what is known of a worker's load: its own report, how old it is, and
 // the calls that this instance has sent there since.
 type Load struct {
-	running int32
-	waiting int32
-	slots   int32
-	pace    float64
-	age     time.Duration
-	since   int32
-	seen    int32
-	cold    bool
+	running  int32
+	waiting  int32
+	slots    int32
+	pace     float64
+	age      time.Duration
+	since    int32
+	seen     int32
+	crowding float64
+	cold     bool
 }
 
 // NewLoad returns the load of a worker that reported running and waiting calls
 // and its pace, 1 being the usual time for a call, an age ago.
 func NewLoad(running, waiting, slots int32, pace float64, age time.Duration) Load {
-	return Load{running: running, waiting: waiting, slots: slots, pace: pace, age: age}
+	return Load{running: running, waiting: waiting, slots: slots, pace: pace, age: age, crowding: CrowdedFactor}
 }
 
 // UnknownLoad returns the load of a worker that has not reported any.
 func UnknownLoad(slots int32) Load {
-	return Load{slots: slots, pace: usualPace, age: math.MaxInt64}
+	return Load{slots: slots, pace: usualPace, age: math.MaxInt64, crowding: CrowdedFactor}
 }
 
 // Since returns l with the calls sent to the worker since its report.
@@ -62,6 +64,13 @@
 	return l
 }
 
+// Crowding returns l of a worker that is slower by the factor beyond the share of
+// its slots at which workers start to slow down.
+func (l Load) Crowding(factor float64) Load {
+	l.crowding = factor
+	return l
+}
+
 // Cold returns l of a worker that has just started.
 func (l Load) Cold(cold bool) Load {
 	l.cold = cold
@@ -108,7 +117,7 @@
 		each *= coldFactor
 	}
 	if l.Crowded() {
-		each *= crowdedFactor
+		each *= l.crowding
 	}
 	wait := max(l.calls()-slots, 0) / slots * each
 	return time.Duration(each + wait)
