--- a/checker/checker.go
+++ b/checker/checker.go
@@ -100,6 +100,7 @@
 	if id := response.Header.Get(c.worker); id != "" && id != string(worker.ID()) {
 		return Misplaced{id: registrar.WorkerID(id)}
 	}
+	// A worker that reports no load, or none that can be read, is still well or ill.
 	var reading Reading
 	if load, err := parser.ParseLoad(response.Header.Get(c.load)); err == nil {
 		reading = Reading{load: load, known: true}
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -138,7 +138,12 @@
 // hold renews the lease until it or the entry has gone.
 func (r *Registrant) hold(ctx context.Context, lease int64) {
 	for r.await(ctx) {
-		if alive, err := storer.KeepAlive(ctx, r.store, lease); err == nil && !alive {
+		alive, err := storer.KeepAlive(ctx, r.store, lease)
+		if err != nil {
+			r.log.Warn().Err(err).Msg("lease of this instance's entry could not be renewed; it lasts for a while yet")
+			continue
+		}
+		if !alive {
 			return
 		}
 	}
