--- a/conductor/standin_test.go
+++ b/conductor/standin_test.go
@@ -20,6 +20,22 @@
 	Removed  bool `json:",omitempty"`
 }
 
+type rangeAnswer struct {
+	Items         []item `json:"items"`
+	MorePages     bool
+	StoreRevision int64
+}
+
+type watchAnswer struct {
+	Events        []item `json:"events"`
+	StoreRevision int64
+}
+
+type (
+	leaseAnswer struct{ Lease int64 }
+	txnAnswer   struct{ Revision int64 }
+)
+
 // standIn speaks as much of the protocol of the platform's store as an instance
 // needs.
 type standIn struct {
@@ -36,7 +52,7 @@
 	router := http.NewServeMux()
 	router.HandleFunc("GET /burdocklane/kv-range", s.serveRange)
 	router.HandleFunc("GET /burdocklane/kv-watch", s.serveWatch)
-	router.HandleFunc("POST /burdocklane/kv-lease", func(w http.ResponseWriter, _ *http.Request) { reply(w, map[string]any{"Lease": 1, "TtlMs": 600_000}) })
+	router.HandleFunc("POST /burdocklane/kv-lease", func(w http.ResponseWriter, _ *http.Request) { reply(w, leaseAnswer{Lease: 1}) })
 	router.HandleFunc("POST /burdocklane/kv-txn", s.serveTxn)
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.isDown() {
@@ -107,7 +123,7 @@
 	for _, i := range s.items {
 		items = append(items, i)
 	}
-	reply(w, map[string]any{"items": items, "MorePages": false, "StoreRevision": s.revision()})
+	reply(w, rangeAnswer{Items: items, StoreRevision: s.revision()})
 }
 
 func (s *standIn) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -127,7 +143,7 @@
 		events = s.history[min(after, s.revision()):]
 		s.mutex.Unlock()
 	}
-	reply(w, map[string]any{"events": events, "StoreRevision": after + int64(len(events))})
+	reply(w, watchAnswer{Events: events, StoreRevision: after + int64(len(events))})
 }
 
 func (s *standIn) serveTxn(w http.ResponseWriter, r *http.Request) {
@@ -141,5 +157,5 @@
 	for _, i := range txn.Puts {
 		s.append(item{Key: i.Key, Value: i.Value})
 	}
-	reply(w, map[string]any{"Revision": s.revision()})
+	reply(w, txnAnswer{Revision: s.revision()})
 }
--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -1,10 +1,11 @@
 package informer
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
+
+	"github.com/go-faster/errors"
 )
 
 // tell sends the council what this instance has learnt itself since the last
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -1,9 +1,10 @@
 package sender
 
 import (
-	"errors"
 	"io"
 	"net/http"
+
+	"github.com/go-faster/errors"
 )
 
 // exchange is one request and its answer on a connection.
