Give processes in tests ports that nobody else takes by chance

Traced by a run beside a program that binds and frees ports: 'listen for callers: address already in use'. The launcher took a port from the system's own range and freed it for the instance; another test's listener got it before the instance had started. Ruled out: outgoing connections (two runs beside 4,000 new ones a second passed). Change: ports are drawn below the system's range; an instance that ends says why by the end of its log.

--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"testing"
 	"time"
@@ -27,11 +28,18 @@
 	pools     []*limiter.Pool
 }
 
+// freeAddress returns a port below those that the system gives to whoever asks
+// for any: nobody takes it by chance.
 func freeAddress(c *qt.C) string {
-	socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer socket.Close()
-	return socket.LocalAddr().String()
+	for range 1000 {
+		socket, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		if err == nil {
+			defer socket.Close()
+			return socket.LocalAddr().String()
+		}
+	}
+	c.Fatal("no port is free")
+	return ""
 }
 
 func newRegion(c *qt.C, instances, workers int) *region {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -27,19 +28,30 @@
 	ready    string
 }
 
+// anyPort returns a port below those that the system gives to whoever asks for
+// any: nobody takes it by chance.
+func anyPort() int { return 10_000 + rand.IntN(20_000) }
+
 func freePort(c *qt.C) string {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer socket.Close()
-	return socket.Addr().String()
+	for range 1000 {
+		socket, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", anyPort()))
+		if err == nil {
+			defer socket.Close()
+			return socket.Addr().String()
+		}
+	}
+	c.Fatal("no port is free")
+	return ""
 }
 
 // freePair returns the first of two ports that are free for datagrams.
 func freePair(c *qt.C) int {
-	for range 100 {
-		first, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		c.Assert(err, qt.IsNil)
-		port := first.LocalAddr().(*net.UDPAddr).Port
+	for range 1000 {
+		port := anyPort()
+		first, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		if err != nil {
+			continue
+		}
 		second, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port + 1})
 		first.Close()
 		if err == nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -194,6 +195,9 @@
 	Invariants string            `json:"invariants"`
 }
 
+// logTailBytes of a log show why a process has ended.
+const logTailBytes = 1 << 10
+
 // InstanceSpec describes an instance to be started.
 type InstanceSpec struct {
 	id       registrar.InstanceID
@@ -254,6 +258,15 @@
 	return path, nil
 }
 
+// logTail returns the end of the instance's log.
+func (i *Instance) logTail() string {
+	data, err := os.ReadFile(i.LogPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-logTailBytes):])
+}
+
 // AwaitReady waits until the instance is ready to serve.
 func (i *Instance) AwaitReady(ctx context.Context) error {
 	for {
@@ -265,25 +278,38 @@
 		select {
 		case <-timer.C:
 		case <-i.exited:
-			return errors.Errorf("%s ended: see %s", i.name, i.LogPath())
+			return errors.Errorf("%s ended: %s", i.name, i.logTail())
 		case <-ctx.Done():
 			return errors.Wrapf(err, "%s is not ready", i.name)
 		}
 	}
 }
 
+const (
+	// portsFrom and portsTo bound the ports that are given to processes. They
+	// lie below those that the system gives to whoever asks for any port, which
+	// would be taken by others before the process has started.
+	portsFrom = 10_000
+	portsTo   = 30_000
+	portTries = 1000
+)
+
 // freePorts returns addresses on the host that nothing listens on now.
 func freePorts(host string, count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		socket, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	for range portTries {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		port := portsFrom + rand.IntN(portsTo-portsFrom)
+		socket, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
 		defer socket.Close()
 		addresses = append(addresses, socket.Addr().String())
 	}
-	return addresses, nil
+	return nil, errors.Errorf("%d of %d ports are free on %s", len(addresses), count, host)
 }
 
 // SetBehaviour changes how a running worker serves.
