--- a/follower/follower.go
+++ b/follower/follower.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
@@ -66,15 +66,6 @@
 	f.done.Wait()
 }
 
-// Contact returns when the store last answered, or the zero time.
-func (f *Follower) Contact() time.Time {
-	at := f.contact.Load()
-	if at == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, at)
-}
-
 // Revision returns the store's revision up to which the keys are known.
 func (f *Follower) Revision() int64 { return f.reached.Load() }
 
@@ -115,7 +106,7 @@
 			continue
 		}
 		failures++
-		f.rest(ctx, backoff(failures))
+		f.rest(ctx, sleeper.Backoff(backoffBase, backoffMost, failures))
 	}
 }
 
@@ -204,8 +195,3 @@
 }
 
 func (f *Follower) show() { f.receive(f.copied.Pairs()) }
-
-func backoff(failures int) time.Duration {
-	most := min(backoffBase<<min(failures, 10), backoffMost)
-	return most/2 + rand.N(most/2)
-}
--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -20,7 +20,7 @@
 	quiet := i.now()-i.toldAt >= quietMost
 	if quiet {
 		i.toldAt = i.now()
-		i.send(nil, v.rest()...)
+		i.send(nil, v.rest...)
 	}
 	if len(records) > 0 || quiet {
 		i.send(records, v.council...)
--- a/informer/view.go
+++ b/informer/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 
 	"burdocklane/publisher"
 	"burdocklane/registrar"
@@ -14,9 +13,9 @@
 	snapshot *publisher.Snapshot
 	targets  []*target
 	byHash   map[uint32]*target
-	peers    []peer // Of the region.
 	council  []peer // Of the region, without this instance.
 	member   bool   // Whether this instance is in the council.
+	rest     []peer // Of the region, not in the council.
 	far      []peer // Of other regions.
 }
 
@@ -61,10 +60,7 @@
 		}
 		p := peer{hash: registrar.Hash(string(instance.ID())), instance: instance, address: address}
 		if instance.Place().Region() == self.Place().Region() {
-			v.peers = append(v.peers, p)
-			if inCouncil[instance.ID()] {
-				v.council = append(v.council, p)
-			}
+			v.addNear(p, inCouncil[instance.ID()])
 			continue
 		}
 		v.far = append(v.far, p)
@@ -72,13 +68,10 @@
 	return v
 }
 
-// rest returns the peers of the region that are not in the council.
-func (v *view) rest() []peer {
-	rest := make([]peer, 0, len(v.peers))
-	for _, p := range v.peers {
-		if !slices.ContainsFunc(v.council, func(c peer) bool { return c.hash == p.hash }) {
-			rest = append(rest, p)
-		}
+func (v *view) addNear(p peer, inCouncil bool) {
+	if inCouncil {
+		v.council = append(v.council, p)
+		return
 	}
-	return rest
+	v.rest = append(v.rest, p)
 }
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -40,18 +40,15 @@
 // If there is no room anywhere, the call waits a little for some, and is then
 // refused.
 func (p *Pool) acquireReported(ctx context.Context, ask Ask, since time.Time) Admission {
-	var seen Seen
-	if p.waiting.Load() == 0 {
-		worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
-		switch decision.(type) {
-		case picker.Send:
-			return Granted{pool: p, worker: worker, target: ask.target, seen: seen}
-		case picker.Refuse:
-			return Refused{reason: ReasonNoWorker, seen: seen}
-		case picker.Wait:
-		}
-	}
-	return p.waitForRoom(ctx, ask, since, seen)
+	granted, decision := p.Decide(ask)
+	switch decision.(type) {
+	case picker.Send:
+		return granted
+	case picker.Refuse:
+		return Refused{reason: ReasonNoWorker, seen: granted.seen}
+	case picker.Wait:
+	}
+	return p.waitForRoom(ctx, ask, since, granted.seen)
 }
 
 func (p *Pool) waitForRoom(ctx context.Context, ask Ask, since time.Time, seen Seen) Admission {
--- a/limiter/ruling.go
+++ b/limiter/ruling.go
@@ -114,7 +114,7 @@
 }
 
 // Decide grants a slot at once. The decision Wait tells that the call may wait
-// for room.
+// for room. Without a slot, what is granted only tells what was seen.
 func (p *Pool) Decide(ask Ask) (Granted, picker.Decision) {
 	var seen Seen
 	if p.waiting.Load() > 0 && !ask.spare {
@@ -122,7 +122,7 @@
 	}
 	worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
 	if _, ok := decision.(picker.Send); !ok {
-		return Granted{}, decision
+		return Granted{seen: seen}, decision
 	}
 	return Granted{pool: p, worker: worker, target: ask.target, seen: seen, onBehalf: ask.onBehalf}, decision
 }
--- a/listener/body.go
+++ b/listener/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"burdocklane/holder"
 )
 
 // requestBody is the body of a caller's request. A short one is kept, so that
@@ -39,23 +41,18 @@
 // gather reads chunks up to the given bytes. If there are more, the body is
 // streamed from its beginning.
 func (b *requestBody) gather(most int64) error {
-	data, err := io.ReadAll(io.LimitReader(b.stream, most+1))
+	data, rest, err := holder.Hold(b.stream, most)
 	if err != nil {
 		return err
 	}
-	if int64(len(data)) <= most {
-		b.kept, b.length, b.replayed = data, int64(len(data)), true
+	if rest != nil {
+		b.stream = rest
 		return nil
 	}
-	b.stream = joined{Reader: io.MultiReader(bytes.NewReader(data), b.stream), Closer: b.stream}
+	b.kept, b.length, b.replayed = data, int64(len(data)), true
 	return nil
 }
 
-type joined struct {
-	io.Reader
-	io.Closer
-}
-
 // replayable tells whether open gives the same bytes each time.
 func (b *requestBody) replayable() bool { return b.replayed }
 
--- a/sender/body.go
+++ b/sender/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"burdocklane/holder"
 )
 
 // answerBody is the part of an answer's body that is still on its connection.
@@ -12,7 +14,6 @@
 // body is given up before.
 type answerBody struct {
 	io.Reader
-	source  io.Closer
 	done    func(whole bool)
 	ended   bool
 	closing sync.Once
@@ -39,21 +40,15 @@
 	if response.ContentLength > most {
 		return false, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, most+1))
+	data, rest, err := holder.Hold(response.Body, most)
 	if err != nil {
 		return false, err
 	}
-	if int64(len(data)) <= most {
-		response.Body = io.NopCloser(bytes.NewReader(data))
-		response.ContentLength = int64(len(data))
-		return true, nil
+	if rest != nil {
+		response.Body = rest
+		return false, nil
 	}
-	rest := response.Body
-	response.Body = readCloser{Reader: io.MultiReader(bytes.NewReader(data), rest), Closer: rest}
-	return false, nil
-}
-
-type readCloser struct {
-	io.Reader
-	io.Closer
+	response.Body = io.NopCloser(bytes.NewReader(data))
+	response.ContentLength = int64(len(data))
+	return true, nil
 }
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -107,7 +107,7 @@
 		x.finish(response, true)
 		return response, nil
 	}
-	response.Body = &answerBody{Reader: response.Body, source: response.Body, done: func(ended bool) { x.finish(response, ended) }}
+	response.Body = &answerBody{Reader: response.Body, done: func(ended bool) { x.finish(response, ended) }}
 	return response, nil
 }
 
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -63,7 +63,6 @@
 	dialer  *dialer
 	workers sync.Map // From address to *stack.
 	traffic atomic.Int64
-	dialled atomic.Int64
 	closed  atomic.Bool
 	sweeps  atomic.Pointer[time.Timer]
 
@@ -113,9 +112,6 @@
 // Traffic returns the bytes sent to and received from workers.
 func (s *Sender) Traffic() int64 { return s.traffic.Load() }
 
-// Dialled returns the number of connections made to workers.
-func (s *Sender) Dialled() int64 { return s.dialled.Load() }
-
 // Close closes the unused connections. Attempts in flight end first by the
 // contexts that they were given.
 func (s *Sender) Close() {
@@ -155,7 +151,6 @@
 	if c := s.stack(address).take(time.Now()); c != nil {
 		return c, nil
 	}
-	s.dialled.Add(1)
 	return s.dialer.dial(ctx, address)
 }
 
--- a/sleeper/sleeper.go
+++ b/sleeper/sleeper.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -20,3 +21,11 @@
 		return false
 	}
 }
+
+// Backoff returns the pause after a number of failures in a row: exponential from
+// the base up to the most, with jitter on its second half.
+func Backoff(base, most time.Duration, failures int) time.Duration {
+	const doublings = 10 // More would overflow a long base.
+	pause := min(base<<min(failures, doublings), most)
+	return pause/2 + rand.N(pause/2)
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -79,7 +79,7 @@
 			failures++
 			w.log.Warn().Err(err).Int("failures", failures).Msg("store is not reachable")
 		}
-		sleeper.Sleep(ctx, backoff(failures))
+		sleeper.Sleep(ctx, sleeper.Backoff(backoffBase, backoffMost, failures))
 	}
 }
 
@@ -158,8 +158,3 @@
 		Str("author", d.Change().Author()).Str("change-id", d.Change().ID()).
 		Msg("configuration is in force")
 }
-
-func backoff(failures int) time.Duration {
-	most := min(backoffBase<<min(failures, 10), backoffMost)
-	return most/2 + rand.N(most/2)
-}
