Do not cut the answer that is passed on when a hedged attempt is answered too

A hedged attempt that was answered just after the first had been chosen still cancelled the first, whose body was on its way. Change: the hedged attempt cancels the first under the lock, and only while none is chosen; if it has, it is the one that is passed on.

--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -12,8 +12,9 @@
 
 // hedge is a second attempt that starts beside a late first one.
 type hedge struct {
-	mutex    sync.Mutex // Guards closed and attempt.
+	mutex    sync.Mutex // Guards closed, won and attempt.
 	closed   bool
+	won      bool // The first attempt was cancelled for the hedged one's sake.
 	attempt  *attempt
 	over     context.Context // Ends when the first attempt has.
 	end      context.CancelFunc
@@ -97,7 +98,10 @@
 		return
 	}
 	r.send(h.attempt)
-	if answered(h.attempt) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if answered(h.attempt) && !h.closed {
+		h.won = true
 		first.cancel()
 	}
 }
@@ -129,25 +133,23 @@
 	h.mutex.Lock()
 	h.closed = true
 	h.end()
-	second := h.attempt
+	second, won := h.attempt, h.won
 	h.mutex.Unlock()
 	switch {
 	case second == nil:
 		r.learn(first)
 		return first
+	case won: // That the first was cancelled is no fault of its worker.
+		r.history = r.history.After(first.result).After(second.result)
+		r.teach(second)
+		r.abandon(first)
+		return second
 	case answered(first):
 		r.learn(first)
 		r.dropLater(h, second)
 		return first
 	}
 	<-h.finished
-	if answered(second) && first.ctx.Err() != nil {
-		// The first was cancelled for the second's sake: no fault of its worker.
-		r.history = r.history.After(first.result).After(second.result)
-		r.teach(second)
-		r.abandon(first)
-		return second
-	}
 	r.learn(first)
 	r.learn(second)
 	if answered(second) {
