Start second attempts while they can still be on time

The traces showed lookups that a slow spell had caught and that were never hedged: by the time the first attempt counted as late (1.7 times the usual), the target left less than one usual call, so that every request for a second attempt was denied; after the target had passed nothing was granted at all.

Change: an attempt is also late when the last chance comes to be on time with a second one, from 1.25 times the usual; a second attempt after that goes to a worker that has room to spare and that nobody waits for.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -123,10 +123,14 @@
 }
 
 func (r *run) ask() limiter.Ask {
-	target := r.call.Class().Target().Latency()
-	return limiter.NewAsk(target, r.call.Deadline(),
+	return limiter.NewAsk(r.call.Class().Target().Latency(), r.call.Deadline(),
 		limiter.WithCaller(r.call.Caller()), limiter.WithAvoid(r.avoid...)).
-		OnTimeUntil(r.call.Arrival().Add(target - linkAllowance))
+		OnTimeUntil(r.onTime())
+}
+
+// onTime returns until when an answer has to come to be on time.
+func (r *run) onTime() time.Time {
+	return r.call.Arrival().Add(r.call.Class().Target().Latency() - linkAllowance)
 }
 
 // start begins an attempt with a granted slot.
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -63,7 +63,8 @@
 }
 
 func (r *run) hedgeStep(first *attempt) retrier.HedgeStep {
-	outlook := retrier.NewOutlook(r.lane.Pool().Outlook(first.granted.Worker(), r.call.Class().Target().Latency()))
+	usual, pace, known := r.lane.Pool().Outlook(first.granted.Worker(), r.call.Class().Target().Latency())
+	outlook := retrier.NewOutlook(usual, pace, known, time.Until(r.onTime()))
 	return retrier.HedgeAfter(outlook, time.Since(first.start))
 }
 
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -107,10 +107,13 @@
 // Spare tells whether the call must take nobody's room.
 func (a Ask) Spare() bool { return a.spare }
 
+// late tells whether an answer can no longer be on time.
+func (a *Ask) late() bool { return time.Until(a.onTime) <= 0 }
+
 // Hurried returns a that takes nobody's room, without use after it would be
 // late, if that is still to come.
 func (a Ask) Hurried() Ask {
-	if time.Until(a.onTime) > 0 {
+	if !a.late() {
 		a.deadline = a.onTime
 	}
 	a.spare = true
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -102,6 +102,9 @@
 
 func (p *Pool) reportedPolicy(ask *Ask) picker.ReportedLoad {
 	policy := picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
+	if ask.spare && ask.late() {
+		policy = policy.Urgent()
+	}
 	if ask.near {
 		return policy.Near()
 	}
--- a/limiter/reported_test.go
+++ b/limiter/reported_test.go
@@ -218,3 +218,35 @@
 		})
 	}
 }
+
+// Calls that a slow spell has caught get a second attempt: while it can be on
+// time, and also later, but then only at a worker that nobody waits for.
+func TestASecondAttemptAfterASlowSpell(t *testing.T) {
+	const usual = 70 * time.Millisecond // What an unknown call is taken to need.
+	tests := []struct {
+		name    string
+		left    time.Duration // Until the answer would be late.
+		running int32
+		granted bool
+	}{
+		{"in time, with room", 2 * usual, 0, true},
+		{"in time, crowded", 2 * usual, 3, false},
+		{"cannot be on time any more, but is not late yet", usual / 2, 0, false},
+		{"late, with room", -usual, 0, true},
+		{"late, crowded", -usual, 2, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := catalogue(4)
+			reportAll(p, test.running, 1)
+			now := time.Now()
+			ask := limiter.NewAsk(target, now.Add(3*target), limiter.WithAvoid("0")).OnTimeUntil(now.Add(test.left)).Hurried()
+			granted, ok := p.TryHedge(context.Background(), ask)
+			c.Assert(ok, qt.Equals, test.granted)
+			if ok {
+				granted.Release()
+			}
+		})
+	}
+}
--- a/retrier/hedge.go
+++ b/retrier/hedge.go
@@ -14,6 +14,12 @@
 	// lateFactor times the usual time is when a call is late at a worker that
 	// reports a good pace.
 	lateFactor = 1.7
+	// leastFactor times the usual time is when a call may be taken for late at all:
+	// ordinary calls differ by that much.
+	leastFactor = 1.25
+	// chanceFactor times the usual time is what a second attempt needs to be on
+	// time.
+	chanceFactor = 1.1
 	// lookAgain is how long after a look at a worker's pace the next one is due.
 	lookAgain = 15 * time.Millisecond
 )
@@ -34,17 +40,28 @@
 func (l Later) Delay() time.Duration { return l.delay }
 
 // Outlook is what is known of an attempt that is under way: the time that a
-// call usually takes, and the pace of its worker, if the worker reports it.
+// call usually takes, the pace of its worker, if the worker reports it, and what
+// is left until the answer would be late.
 type Outlook struct {
 	usual time.Duration
 	pace  float64
 	known bool
+	left  time.Duration
 }
 
 // NewOutlook returns the outlook of an attempt; known tells whether the pace,
 // 1 being the usual, is the worker's own.
-func NewOutlook(usual time.Duration, pace float64, known bool) Outlook {
-	return Outlook{usual: usual, pace: pace, known: known}
+func NewOutlook(usual time.Duration, pace float64, known bool, left time.Duration) Outlook {
+	return Outlook{usual: usual, pace: pace, known: known, left: left}
+}
+
+// due returns when, after the attempt's start, a second one is due at a worker
+// that reports a good pace: while it can still be on time, if that is soon.
+func (o Outlook) due(elapsed time.Duration) time.Duration {
+	usual := float64(o.usual)
+	lastChance := elapsed + o.left - time.Duration(chanceFactor*usual)
+	due := min(time.Duration(lateFactor*usual), max(lastChance, time.Duration(leastFactor*usual)))
+	return max(due, lookAgain)
 }
 
 // LookAgain returns when to look at a refused hedge again.
@@ -59,7 +76,7 @@
 	if o.pace >= slowPace {
 		return Hedge{}
 	}
-	switch s := hedgeAt(max(time.Duration(lateFactor*float64(o.usual)), lookAgain), elapsed).(type) {
+	switch s := hedgeAt(o.due(elapsed), elapsed).(type) {
 	case Later:
 		return Later{delay: min(s.delay, lookAgain)}
 	default:
