Let instances read the store's keys from relays of their zone

Ruled out: longer pauses between watches, which would bring changes to drain and configuration near their bounds.

Change: the two members of the council in a zone follow the store and serve their copy to the others of the zone (package relayer; HTTP long polls with a cursor). Keys older than those known are never taken. twirp does not fit a question that is held; and its protobuf would add to each instance's memory.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -27,6 +27,7 @@
 	"burdocklane/recorder"
 	"burdocklane/registrant"
 	"burdocklane/registrar"
+	"burdocklane/relayer"
 	"burdocklane/sender"
 	"burdocklane/storer"
 
@@ -57,6 +58,9 @@
 	readyTimeout  = 5 * time.Second
 	recentKept    = 256
 	decisionsKept = 1024
+	// relayPatience is the part of the time for a change that a relay has to show
+	// one that other peers know.
+	relayPatience = 0.4
 	// linesKept log lines wait for an output that does not take them.
 	linesKept = 1024
 )
@@ -79,6 +83,8 @@
 	closeStore func()
 	directory  *adapter.Directory
 	follower   *follower.Follower
+	chooser    *relayer.Chooser
+	relay      *relayer.Relay
 	registrant *registrant.Registrant
 	informer   *informer.Informer
 	arbiter    atomic.Pointer[arbiter.Arbiter]
@@ -139,7 +145,14 @@
 	if err != nil {
 		return err
 	}
-	c.follower = follower.New(c.store, adapter.WatchedPrefix, c.learn, c.log)
+	revision := func() int64 { return c.follower.Revision() }
+	c.chooser = relayer.NewChooser(c.self(), revision, func() []registrar.Instance { return c.informer.Live() })
+	c.relay, err = relayer.New(c.settings.Peers(), func() bool { return c.follower.Reaches() }, c.log)
+	if err != nil {
+		return err
+	}
+	c.follower = follower.New(c.store, adapter.WatchedPrefix, c.learn, c.log, follower.WithRelays(follower.NewRelays(
+		c.chooser.Wanted, c.chooser.Next, time.Duration(relayPatience*float64(c.settings.ChangeTime())))))
 	c.informer, err = informer.New(c.self(), c.publisher,
 		checker.New(c.sender, adapter.HeaderWorker, adapter.HeaderLoad),
 		informer.NewNews(c.follower.Revision, c.follower.Behind), c.log)
@@ -151,6 +164,7 @@
 		return err
 	}
 	c.arbiter.Store(a)
+	c.follower.Start()
 	return nil
 }
 
@@ -163,9 +177,10 @@
 }
 
 // learn puts what the store holds in force.
-func (c *Conductor) learn(pairs []storer.Pair) {
-	list, changed := c.directory.Read(pairs)
-	c.registrant.Seen(pairs)
+func (c *Conductor) learn(page storer.Page) {
+	list, changed := c.directory.Read(page.Pairs())
+	c.registrant.Seen(page.Pairs())
+	c.relayed(list, page)
 	if changed != nil {
 		if err := c.publisher.PublishDeployment(*changed, "store"); err != nil {
 			c.log.Warn().Err(err).Msg("an older configuration was ignored")
@@ -179,6 +194,15 @@
 	}
 }
 
+// relayed hands the keys on, if this instance is a relay.
+func (c *Conductor) relayed(list registrar.List, page storer.Page) {
+	if !c.chooser.Learn(list.Instances()) {
+		c.relay.Hide()
+		return
+	}
+	c.relay.Show(page)
+}
+
 // open serves callers, and the platform's question whether it may send them.
 func (c *Conductor) open() error {
 	c.awaitFirst()
@@ -252,6 +276,12 @@
 	if c.follower != nil {
 		c.follower.Close()
 	}
+	if c.relay != nil {
+		c.relay.Close()
+	}
+	if c.chooser != nil {
+		c.chooser.Close()
+	}
 	if a := c.arbiter.Load(); a != nil {
 		a.Close()
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -62,7 +62,8 @@
 				return storer.Batch{}, ctx.Err()
 			}
 			seen := make(chan int64, 8)
-			f := follower.New(s.store(), "", func(pairs []storer.Pair) { seen <- pairs[0].Revision() }, zerolog.Nop())
+			f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Pairs()[0].Revision() }, zerolog.Nop())
+			f.Start()
 			defer f.Close()
 			c.Assert(<-seen, qt.Equals, int64(1))
 			c.Assert(<-seen, qt.Equals, int64(2))
@@ -79,7 +80,8 @@
 		return storer.Batch{}, ctx.Err()
 	}}
 	seen := make(chan int64, 8)
-	f := follower.New(s.store(), "", func(pairs []storer.Pair) { seen <- pairs[0].Revision() }, zerolog.Nop())
+	f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Pairs()[0].Revision() }, zerolog.Nop())
+	f.Start()
 	defer f.Close()
 	c.Assert(<-seen, qt.Equals, int64(1))
 	for s.polls.Load() == 0 {
@@ -90,3 +92,86 @@
 	c.Assert(<-seen, qt.Equals, int64(2))
 	c.Assert(s.reads.Load(), qt.Equals, int64(2))
 }
+
+// relayed is a relay whose watch ends as a test says.
+func relayed(revision int64, poll func(ctx context.Context) error) *storer.Remote {
+	return storer.NewRemote(
+		storer.WithRange(func(context.Context, string) (storer.Page, error) {
+			return storer.NewPage([]storer.Pair{pair("a", "v", revision)}, revision), nil
+		}),
+		storer.WithPoll(func(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+			return storer.Batch{}, poll(ctx)
+		}, 0))
+}
+
+func untilDone(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func TestWhenTheStoreIsAskedInPlaceOfARelay(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	fails := func(context.Context) error { return errors.New("relay is away") }
+	tests := []struct {
+		name  string
+		relay *storer.Remote // Nil if none lives.
+		know  int64          // A revision that peers know.
+		reads int64          // Of the store.
+	}{
+		{"a relay serves", relayed(100, untilDone), 0, 0},
+		{"no relay lives", nil, 0, 1},
+		{"the relay fails", relayed(100, fails), 0, 1},
+		{"the relay hides a change that peers know", relayed(99, untilDone), 100, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &script{poll: func(ctx context.Context, _ int64) (storer.Batch, error) { return storer.Batch{}, untilDone(ctx) }}
+			next := func() (storer.Store, bool) { return test.relay, test.relay != nil }
+			seen := make(chan int64, 8)
+			f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
+				follower.WithRelays(follower.NewRelays(func() bool { return true }, next, time.Millisecond)))
+			f.Start()
+			defer f.Close()
+			for {
+				f.Behind(test.know)
+				select {
+				case revision := <-seen:
+					if revision < 100 {
+						continue
+					}
+				case <-time.After(time.Millisecond):
+					continue
+				}
+				break
+			}
+			for s.reads.Load() < test.reads {
+				time.Sleep(time.Millisecond)
+			}
+			c.Assert(s.reads.Load(), qt.Equals, test.reads)
+		})
+	}
+}
+
+// A relay that lags must not take keys away that are known already.
+func TestARelayWithOlderKeysIsNotUsed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	s := &script{}
+	var wanted atomic.Bool
+	s.poll = func(ctx context.Context, nth int64) (storer.Batch, error) {
+		if nth == 1 { // From now on there is a relay.
+			wanted.Store(true)
+			return storer.Batch{}, storer.NewCompactedError(100)
+		}
+		return storer.Batch{}, untilDone(ctx)
+	}
+	lagging := relayed(50, untilDone)
+	seen := make(chan int64, 8)
+	f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
+		follower.WithRelays(follower.NewRelays(wanted.Load, func() (storer.Store, bool) { return lagging, true }, time.Second)))
+	f.Start()
+	defer f.Close()
+	c.Assert(<-seen, qt.Equals, int64(100))
+	c.Assert(<-seen, qt.Equals, int64(200))
+}
--- /dev/null
+++ b/relayer/message.go
@@ -0,0 +1,59 @@
+package relayer
+
+import (
+	"burdocklane/storer"
+)
+
+// pairMessage is a key as instances tell it to each other.
+type pairMessage struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+}
+
+// removalMessage is a key that is gone.
+type removalMessage struct {
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
+}
+
+// copyMessage is all that a relay knows.
+type copyMessage struct {
+	Incarnation string        `json:"incarnation"`
+	Cursor      int64         `json:"cursor"`
+	Revision    int64         `json:"revision"`
+	Pairs       []pairMessage `json:"pairs"`
+}
+
+// changesMessage is what has changed since a cursor.
+type changesMessage struct {
+	Cursor   int64            `json:"cursor"`
+	Revision int64            `json:"revision"`
+	Pairs    []pairMessage    `json:"pairs,omitempty"`
+	Removed  []removalMessage `json:"removed,omitempty"`
+}
+
+func newPairMessage(p storer.Pair) pairMessage {
+	return pairMessage{Key: p.Key(), Value: p.Value(), Revision: p.Revision()}
+}
+
+func (m pairMessage) pair() storer.Pair { return storer.NewPair(m.Key, m.Value, m.Revision) }
+
+func (m copyMessage) page() storer.Page {
+	pairs := make([]storer.Pair, 0, len(m.Pairs))
+	for _, p := range m.Pairs {
+		pairs = append(pairs, p.pair())
+	}
+	return storer.NewPage(pairs, m.Revision)
+}
+
+func (m changesMessage) batch() storer.Batch {
+	events := make([]storer.Event, 0, len(m.Pairs)+len(m.Removed))
+	for _, r := range m.Removed {
+		events = append(events, storer.NewDeletion(r.Key, r.Revision))
+	}
+	for _, p := range m.Pairs {
+		events = append(events, storer.NewEvent(p.pair()))
+	}
+	return storer.NewBatch(events, m.Revision)
+}
--- /dev/null
+++ b/relayer/source.go
@@ -0,0 +1,82 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"burdocklane/storer"
+
+	"github.com/go-faster/errors"
+)
+
+// answerTimeout is how long a relay may take beyond the time that it holds a
+// question.
+const answerTimeout = 500 * time.Millisecond
+
+// source reads the keys from a relay.
+type source struct {
+	base        string
+	client      *http.Client
+	reached     func() int64
+	incarnation string // Used by the follower's goroutine alone, as is the cursor.
+	cursor      int64
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
+}
+
+// newSource returns a store that reads from the relay at host:port. Keys older
+// than the reached revision are not taken. One goroutine may use it.
+func newSource(client *http.Client, address string, reached func() int64) *storer.Remote {
+	s := &source{base: "http://" + address, client: client, reached: reached}
+	return storer.NewRemote(storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
+}
+
+func (s *source) readRange(ctx context.Context, _ string) (storer.Page, error) {
+	var m copyMessage
+	query := url.Values{queryLeast: {strconv.FormatInt(s.reached(), 10)}}
+	if err := s.get(ctx, pathKeys, query, &m); err != nil {
+		return storer.Page{}, err
+	}
+	s.incarnation, s.cursor = m.Incarnation, m.Cursor
+	return m.page(), nil
+}
+
+func (s *source) poll(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+	var m changesMessage
+	query := url.Values{queryCursor: {strconv.FormatInt(s.cursor, 10)}, queryIncarnation: {s.incarnation}}
+	if err := s.get(ctx, pathChanges, query, &m); err != nil {
+		return storer.Batch{}, err
+	}
+	s.cursor = m.Cursor
+	return m.batch(), nil
+}
+
+func (s *source) get(ctx context.Context, path string, query url.Values, message any) error {
+	ctx, cancel := context.WithTimeout(ctx, holdTime+answerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path+"?"+query.Encode(), nil)
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusGone {
+		return storer.NewCompactedError(s.reached())
+	}
+	if response.StatusCode != http.StatusOK {
+		return storer.NewStatusError("relay", response.StatusCode, "")
+	}
+	if err := json.NewDecoder(response.Body).Decode(message); err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	return nil
+}
