Try a zone's other relay at once, and collect the heap earlier

An instance held 7.3 MB on average, of which garbage up to twice the live heap.

Change: a relay that does not serve rests for two seconds while the next one is tried at once; a relay waits 1.5 s for a revision that the asker knows; patience follows the longest pause between watches; a new instance waits up to 0.4 s for a relay before it opens a watch of its own. The heap grows by half between collections.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -41,6 +41,9 @@
 const (
 	// memoryShare is the part of the memory limit that the heap may fill.
 	memoryShare = 0.6
+	// collectPercent is how much the heap may grow between two collections, in
+	// percent of what is in use: instances have more processor than memory.
+	collectPercent = 50
 	// notice is how long an instance that is to stop takes connections, while
 	// the platform's balancer turns away from it.
 	notice = 2500 * time.Millisecond
@@ -60,7 +63,7 @@
 	decisionsKept = 1024
 	// relayPatience is the part of the time for a change that a relay has to show
 	// one that other peers know.
-	relayPatience = 0.4
+	relayPatience = 0.55
 	// linesKept log lines wait for an output that does not take them.
 	linesKept = 1024
 )
@@ -99,6 +102,7 @@
 	if settings.MemoryBytes() > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 	}
+	debug.SetGCPercent(collectPercent)
 	lines := diode.NewWriter(output, linesKept, 0, func(missed int) { linesLost.Add(missed) })
 	log := zerolog.New(lines).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
 	log.Info().Str("region", settings.Place().Region()).Str("zone", settings.Place().Zone()).Msg("instance starts")
@@ -152,7 +156,7 @@
 		return err
 	}
 	c.follower = follower.New(c.store, adapter.WatchedPrefix, c.learn, c.log, follower.WithRelays(follower.NewRelays(
-		c.chooser.Wanted, c.chooser.Next, time.Duration(relayPatience*float64(c.settings.ChangeTime())))))
+		c.chooser.Wanted, c.chooser.Next, c.chooser.Failed, time.Duration(relayPatience*float64(c.settings.ChangeTime())))))
 	c.informer, err = informer.New(c.self(), c.publisher,
 		checker.New(c.sender, adapter.HeaderWorker, adapter.HeaderLoad),
 		informer.NewNews(c.follower.Revision, c.follower.Behind), c.log)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -51,8 +51,6 @@
 	lostAt  atomic.Int64 // When the store stopped answering this instance, or 0.
 	watch   atomic.Pointer[watch]
 	wake    chan struct{} // Tells that a peer reaches the store.
-	// relayAgain is when relays may be asked again.
-	relayAgain atomic.Int64
 
 	// The run goroutine alone uses what follows.
 	copied  *Copy
@@ -154,15 +152,9 @@
 	return backoffMost
 }
 
-// turn follows a relay if there is one to read from, or else the store itself.
+// turn follows the relays as long as one serves, and then the store itself.
 func (f *Follower) turn(ctx context.Context) error {
-	if relay, ok := f.usableRelay(); ok {
-		err := f.follow(ctx, relay, true)
-		if err == nil || ctx.Err() != nil {
-			return nil
-		}
-		f.leaveRelay(err)
-	}
+	f.followRelays(ctx)
 	return f.follow(ctx, f.store, false)
 }
 
@@ -217,6 +209,9 @@
 	f.reached.Store(page.Revision())
 	f.copied.Replace(page.Pairs())
 	f.show()
+	if !relayed && f.findRelay(ctx) {
+		return nil
+	}
 	return f.keepUp(ctx, store, page.Revision(), relayed)
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -114,7 +114,7 @@
 	fails := func(context.Context) error { return errors.New("relay is away") }
 	tests := []struct {
 		name  string
-		relay *storer.Remote // Nil if none lives.
+		relay *storer.Remote // Nil if none lives. It is asked once.
 		know  int64          // A revision that peers know.
 		reads int64          // Of the store.
 	}{
@@ -127,10 +127,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := &script{poll: func(ctx context.Context, _ int64) (storer.Batch, error) { return storer.Batch{}, untilDone(ctx) }}
-			next := func() (storer.Store, bool) { return test.relay, test.relay != nil }
+			var failed atomic.Bool
+			next := func() (storer.Store, bool) { return test.relay, test.relay != nil && !failed.Load() }
 			seen := make(chan int64, 8)
 			f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
-				follower.WithRelays(follower.NewRelays(func() bool { return true }, next, time.Millisecond)))
+				follower.WithRelays(follower.NewRelays(func() bool { return true }, next, func() { failed.Store(true) }, time.Millisecond)))
 			f.Start()
 			defer f.Close()
 			for {
@@ -167,9 +168,11 @@
 		return storer.Batch{}, untilDone(ctx)
 	}
 	lagging := relayed(50, untilDone)
+	var failed atomic.Bool
+	next := func() (storer.Store, bool) { return lagging, !failed.Load() }
 	seen := make(chan int64, 8)
 	f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
-		follower.WithRelays(follower.NewRelays(wanted.Load, func() (storer.Store, bool) { return lagging, true }, time.Second)))
+		follower.WithRelays(follower.NewRelays(wanted.Load, next, func() { failed.Store(true) }, time.Second)))
 	f.Start()
 	defer f.Close()
 	c.Assert(<-seen, qt.Equals, int64(100))
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -5,31 +5,35 @@
 	"fmt"
 	"time"
 
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// relayRest is how long no relay is asked after one has failed.
-	relayRest = 2 * time.Second
-	// relayLook is how often an instance that reads from the store itself looks
+	// relayLook is how often an instance that watches the store itself looks
 	// whether a relay is there.
-	relayLook = 500 * time.Millisecond
+	relayLook = time.Second
+	// relayWait is how long an instance that has read the keys waits for a relay
+	// before it watches the store itself, and relayWaitStep how often it looks.
+	relayWait     = 400 * time.Millisecond
+	relayWaitStep = 50 * time.Millisecond
 )
 
 // Relays are peers that serve a copy of the store's keys.
 type Relays struct {
 	wanted   func() bool
 	next     func() (storer.Store, bool)
+	failed   func()
 	patience time.Duration
 }
 
 // NewRelays returns relays: wanted tells whether this instance is to read from
-// them, and next returns one that lives. A relay has the given time to show a
-// change that other peers know.
-func NewRelays(wanted func() bool, next func() (storer.Store, bool), patience time.Duration) Relays {
-	return Relays{wanted: wanted, next: next, patience: patience}
+// them, next returns one that lives, and failed is told that the last one did not
+// serve. A relay has the given time to show a change that other peers know.
+func NewRelays(wanted func() bool, next func() (storer.Store, bool), failed func(), patience time.Duration) Relays {
+	return Relays{wanted: wanted, next: next, failed: failed, patience: patience}
 }
 
 // NoRelays returns no relays.
@@ -37,6 +41,7 @@
 	return Relays{
 		wanted: func() bool { return false },
 		next:   func() (storer.Store, bool) { return nil, false },
+		failed: func() {},
 	}
 }
 
@@ -78,16 +83,41 @@
 
 // usableRelay returns the relay to read from now, if there is one.
 func (f *Follower) usableRelay() (storer.Store, bool) {
-	if int64(f.now()) < f.relayAgain.Load() || !f.relays.wanted() {
+	if !f.relays.wanted() {
 		return nil, false
 	}
 	return f.relays.next()
 }
 
-// leaveRelay turns to the store itself for a while.
-func (f *Follower) leaveRelay(err error) {
-	f.relayAgain.Store(int64(f.now() + relayRest))
-	f.log.Info().Err(err).Msg("relay of the store's keys does not serve; reading from the store")
+// followRelays follows one relay after another until none is left to read from.
+func (f *Follower) followRelays(ctx context.Context) {
+	for ctx.Err() == nil {
+		relay, ok := f.usableRelay()
+		if !ok {
+			return
+		}
+		err := f.follow(ctx, relay, true)
+		if err != nil && ctx.Err() == nil {
+			f.log.Info().Err(err).Msg("relay of the store's keys does not serve")
+			f.relays.failed()
+		}
+	}
+}
+
+// findRelay waits a little for a relay, and tells whether there is one.
+func (f *Follower) findRelay(ctx context.Context) bool {
+	for range relayWait / relayWaitStep {
+		if !f.relays.wanted() {
+			return false
+		}
+		if _, ok := f.relays.next(); ok {
+			return true
+		}
+		if !sleeper.Sleep(ctx, relayWaitStep) {
+			return false
+		}
+	}
+	return false
 }
 
 // awaitRelay ends a watch of the store itself once a relay can be used.
--- a/relayer/chooser.go
+++ b/relayer/chooser.go
@@ -3,12 +3,17 @@
 import (
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"burdocklane/registrar"
 	"burdocklane/storer"
 )
 
+// failedRest is how long a relay that did not serve is not asked.
+const failedRest = 2 * time.Second
+
 // Chooser says which instances are relays: the members of the region's council
 // in an availability zone serve the others of that zone.
 type Chooser struct {
@@ -16,6 +21,8 @@
 	reached func() int64
 	client  *http.Client
 	relays  atomic.Pointer[[]registrar.Instance] // Of this instance's zone; empty if it is one itself.
+	chosen  atomic.Value                         // The registrar.InstanceID of the last one.
+	resting sync.Map                             // From an instance's ID to the time until which it is not asked.
 	live    func() []registrar.Instance
 }
 
@@ -58,6 +65,9 @@
 	var bestScore uint32
 	for _, relay := range relays {
 		score := registrar.Hash(string(c.self.ID()) + "/" + string(relay.ID()))
+		if c.rests(relay.ID()) {
+			continue
+		}
 		lives := slices.ContainsFunc(alive, func(i registrar.Instance) bool { return i.ID() == relay.ID() })
 		if lives && score >= bestScore {
 			best, bestScore = relay, score
@@ -66,5 +76,18 @@
 	if best.ID() == "" {
 		return nil, false
 	}
+	c.chosen.Store(best.ID())
 	return newSource(c.client, best.Peers(), c.reached), true
 }
+
+// Failed notes that the last relay did not serve: it is left alone for a while.
+func (c *Chooser) Failed() {
+	if id, ok := c.chosen.Load().(registrar.InstanceID); ok {
+		c.resting.Store(id, time.Now().Add(failedRest))
+	}
+}
+
+func (c *Chooser) rests(id registrar.InstanceID) bool {
+	until, ok := c.resting.Load(id)
+	return ok && time.Now().Before(until.(time.Time))
+}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -26,6 +26,9 @@
 	// holdTime is how long a relay holds a question while nothing changes. Its
 	// empty answer tells that it is alive.
 	holdTime = 700 * time.Millisecond
+	// catchUpTime is how long a relay waits for a revision that the asker knows
+	// already.
+	catchUpTime = 1500 * time.Millisecond
 	// readTimeout bounds the reading of a question.
 	readTimeout = 2 * time.Second
 	// idleTimeout is how long a connection may be unused.
@@ -48,6 +51,7 @@
 	reaches     func() bool // Whether this instance reaches the store.
 	serving     atomic.Bool
 	copy        atomic.Pointer[keysCopy]
+	address     string
 	server      *http.Server
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -61,7 +65,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen as a relay")
 	}
-	r := &Relay{incarnation: uuid.NewString(), reaches: reaches}
+	r := &Relay{incarnation: uuid.NewString(), reaches: reaches, address: socket.Addr().String()}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.copy.Store(newKeysCopy())
 	router := mux.NewRouter()
@@ -76,6 +80,9 @@
 	return r, nil
 }
 
+// Address returns host:port.
+func (r *Relay) Address() string { return r.address }
+
 // Close ends the answers under way and waits for the server.
 func (r *Relay) Close() {
 	r.cancel()
@@ -105,7 +112,7 @@
 		http.Error(w, "no revision", http.StatusBadRequest)
 		return
 	}
-	current := r.await(q.Context(), func(k *keysCopy) bool { return k.revision >= least })
+	current := r.await(q.Context(), catchUpTime, func(k *keysCopy) bool { return k.revision >= least })
 	if !r.serves() || current.revision < least {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -125,7 +132,7 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	current := r.await(q.Context(), func(k *keysCopy) bool { return k.cursor > cursor })
+	current := r.await(q.Context(), holdTime, func(k *keysCopy) bool { return k.cursor > cursor })
 	changes, known := current.since(cursor)
 	switch {
 	case !r.serves():
@@ -137,10 +144,10 @@
 	}
 }
 
-// await returns the first copy that is enough, or the latest one when a relay
-// has held the question long enough or cannot serve.
-func (r *Relay) await(ctx context.Context, enough func(*keysCopy) bool) *keysCopy {
-	timer := time.NewTimer(holdTime)
+// await returns the first copy that is enough, or the latest one when the time
+// is up or the relay cannot serve.
+func (r *Relay) await(ctx context.Context, most time.Duration, enough func(*keysCopy) bool) *keysCopy {
+	timer := time.NewTimer(most)
 	defer timer.Stop()
 	for {
 		current := r.copy.Load()
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,12 +75,8 @@
 	c.Assert(ok, qt.IsTrue)
 }
 
-func freeAddress(c *qt.C) string {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer socket.Close()
-	return socket.Addr().String()
-}
+// anyAddress lets the system choose a port.
+const anyAddress = "127.0.0.1:0"
 
 func TestWhenARelayServes(t *testing.T) {
 	defer goleak.VerifyNone(t)
@@ -102,8 +97,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			address := freeAddress(c)
-			r, err := New(address, func() bool { return test.reaches }, zerolog.Nop())
+			r, err := New(anyAddress, func() bool { return test.reaches }, zerolog.Nop())
 			c.Assert(err, qt.IsNil)
 			defer r.Close()
 			if test.shown > 0 {
@@ -114,7 +108,7 @@
 			}
 			client := newClient()
 			defer client.CloseIdleConnections()
-			page, err := storer.Range(context.Background(), newSource(client, address, func() int64 { return test.least }), "")
+			page, err := storer.Range(context.Background(), newSource(client, r.Address(), func() int64 { return test.least }), "")
 			c.Assert(err == nil, qt.Equals, test.serves)
 			if test.serves {
 				c.Assert(page.Revision(), qt.Equals, test.shown)
@@ -127,16 +121,15 @@
 func TestChangesReachThoseThatReadFromARelay(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
-	address := freeAddress(c)
 	var reaches atomic.Bool
 	reaches.Store(true)
-	r, err := New(address, reaches.Load, zerolog.Nop())
+	r, err := New(anyAddress, reaches.Load, zerolog.Nop())
 	c.Assert(err, qt.IsNil)
 	defer r.Close()
 	r.Show(storer.NewPage(pairs(1, 2), 2))
 	client := newClient()
 	defer client.CloseIdleConnections()
-	source := newSource(client, address, func() int64 { return 0 })
+	source := newSource(client, r.Address(), func() int64 { return 0 })
 	page, err := storer.Range(context.Background(), source, "")
 	c.Assert(err, qt.IsNil)
 	batches := make(chan storer.Batch, 8)
@@ -162,23 +155,21 @@
 func TestARestartedRelayIsReadFromTheStart(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	c := qt.New(t)
-	address := freeAddress(c)
+	relays := [2]*Relay{}
+	for i := range relays {
+		r, err := New(anyAddress, func() bool { return true }, zerolog.Nop())
+		c.Assert(err, qt.IsNil)
+		defer r.Close()
+		r.Show(storer.NewPage(pairs(int64(i+1)), int64(i+1)))
+		relays[i] = r
+	}
 	client := newClient()
 	defer client.CloseIdleConnections()
-	source := newSource(client, address, func() int64 { return 0 })
-	first, err := New(address, func() bool { return true }, zerolog.Nop())
+	s := &source{base: "http://" + relays[0].Address(), client: client, reached: func() int64 { return 0 }}
+	_, err := s.readRange(context.Background(), "")
 	c.Assert(err, qt.IsNil)
-	first.Show(storer.NewPage(pairs(1), 1))
-	_, err = storer.Range(context.Background(), source, "")
-	c.Assert(err, qt.IsNil)
-	first.Close()
-	client.CloseIdleConnections()
-	second, err := New(address, func() bool { return true }, zerolog.Nop())
-	c.Assert(err, qt.IsNil)
-	defer second.Close()
-	second.Show(storer.NewPage(pairs(1), 1))
-	second.Show(storer.NewPage(pairs(2), 2))
-	err = storer.Watch(context.Background(), source, "", 2, func(storer.Batch) {})
+	s.base = "http://" + relays[1].Address()
+	_, err = s.poll(context.Background(), "", 1)
 	var compacted *storer.CompactedError
 	c.Assert(errors.As(err, &compacted), qt.IsTrue)
 }
@@ -212,6 +203,12 @@
 			c.Assert(chooser.Wanted(), qt.Equals, test.wanted)
 			_, found := chooser.Next()
 			c.Assert(found, qt.Equals, test.found)
+			for range test.live { // Each that lives may fail once.
+				chooser.Failed()
+				chooser.Next()
+			}
+			_, found = chooser.Next()
+			c.Assert(found, qt.IsFalse)
 		})
 	}
 }
@@ -223,5 +220,5 @@
 	r.Show(storer.NewPage(pairs(1), 1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
-	c.Assert(r.await(ctx, func(*keysCopy) bool { return false }).revision, qt.Equals, int64(1))
+	c.Assert(r.await(ctx, time.Minute, func(*keysCopy) bool { return false }).revision, qt.Equals, int64(1))
 }
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -40,7 +40,7 @@
 func (s *source) readRange(ctx context.Context, _ string) (storer.Page, error) {
 	var m copyMessage
 	query := url.Values{queryLeast: {strconv.FormatInt(s.reached(), 10)}}
-	if err := s.get(ctx, pathKeys, query, &m); err != nil {
+	if err := s.get(ctx, pathKeys, query, catchUpTime, &m); err != nil {
 		return storer.Page{}, err
 	}
 	s.incarnation, s.cursor = m.Incarnation, m.Cursor
@@ -50,15 +50,15 @@
 func (s *source) poll(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
 	var m changesMessage
 	query := url.Values{queryCursor: {strconv.FormatInt(s.cursor, 10)}, queryIncarnation: {s.incarnation}}
-	if err := s.get(ctx, pathChanges, query, &m); err != nil {
+	if err := s.get(ctx, pathChanges, query, holdTime, &m); err != nil {
 		return storer.Batch{}, err
 	}
 	s.cursor = m.Cursor
 	return m.batch(), nil
 }
 
-func (s *source) get(ctx context.Context, path string, query url.Values, message any) error {
-	ctx, cancel := context.WithTimeout(ctx, holdTime+answerTimeout)
+func (s *source) get(ctx context.Context, path string, query url.Values, held time.Duration, message any) error {
+	ctx, cancel := context.WithTimeout(ctx, held+answerTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path+"?"+query.Encode(), nil)
 	if err != nil {
