Tell reports only to those that decide, and liveness through the own zone

Change: a report goes to the worker's checker, the arbiter of its service and the one that would follow; everybody in the council is told when a worker becomes slow, calm, unwell or away. Instances outside the council hear of it through the members of their own zone. Second attempts leave a fifth of the workers with room for first ones.

--- a/arbiter/asker.go
+++ b/arbiter/asker.go
@@ -14,7 +14,7 @@
 // Decide asks the service's arbiter which worker is to take a call. It is a
 // limiter.Decider.
 func (a *Arbiter) Decide(ctx context.Context, p *limiter.Pool, request limiter.Ask) limiter.Ruling {
-	arbiter := highest(a.live(), p, a.self)
+	arbiter := arbiterOf(a.live(), p, a.self)
 	if arbiter.ID() == a.self.ID() {
 		return a.decideHere(ctx, p, request)
 	}
@@ -84,7 +84,7 @@
 	for _, council := range a.current().councils { // In random order.
 		council = slices.DeleteFunc(slices.Clone(council), a.isSilent)
 		if len(council) > 0 {
-			return a.askAt(ctx, p, request.Hurried(), highest(council, p, council[0]), farTimeout)
+			return a.askAt(ctx, p, request.Hurried(), arbiterOf(council, p, council[0]), farTimeout)
 		}
 	}
 	return limiter.Denied{}
@@ -123,15 +123,10 @@
 	return ok && time.Now().Before(until.(time.Time))
 }
 
-// highest returns the instance with the highest hash for the pool's service
-// (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
-// 1998).
-func highest(instances []registrar.Instance, p *limiter.Pool, fallback registrar.Instance) registrar.Instance {
-	best, bestScore := fallback, uint32(0)
-	for _, instance := range instances {
-		if score := registrar.Hash(string(p.Service()) + "/" + string(instance.ID())); score >= bestScore {
-			best, bestScore = instance, score
-		}
+// arbiterOf returns the instance that decides for the pool's service.
+func arbiterOf(instances []registrar.Instance, p *limiter.Pool, fallback registrar.Instance) registrar.Instance {
+	if best, ok := registrar.Highest(instances, string(p.Service()), ""); ok {
+		return best
 	}
-	return best
+	return fallback
 }
--- a/arbiter/message.go
+++ b/arbiter/message.go
@@ -32,7 +32,8 @@
 // ask asks which worker is to take a call.
 type ask struct {
 	Kind     kind
-	Spare    bool
+	Spare    bool // The call must take nobody's room.
+	Second   bool // It already has an attempt under way.
 	Call     call
 	Service  uint32 // Hash of the service's name.
 	TargetMs uint16
--- a/arbiter/question.go
+++ b/arbiter/question.go
@@ -12,7 +12,7 @@
 
 func newAsk(c call, p *limiter.Pool, request limiter.Ask) ask {
 	m := ask{
-		Kind: kindAsk, Spare: request.Spare(), Call: c, Service: registrar.Hash(p.Service()),
+		Kind: kindAsk, Spare: request.Spare(), Second: request.IsSecond(), Call: c, Service: registrar.Hash(p.Service()),
 		TargetMs: milliseconds(request.Target()),
 		OnTimeMs: milliseconds(time.Until(request.OnTime())),
 		LeftMs:   milliseconds(time.Until(request.Deadline())),
--- a/arbiter/view.go
+++ b/arbiter/view.go
@@ -67,7 +67,10 @@
 	}
 	request := limiter.NewAsk(time.Duration(m.TargetMs)*time.Millisecond, now.Add(time.Duration(m.LeftMs)*time.Millisecond),
 		limiter.WithAvoid(avoid...)).OnTimeUntil(now.Add(time.Duration(m.OnTimeMs) * time.Millisecond))
-	if m.Spare {
+	switch {
+	case m.Second:
+		return request.Second()
+	case m.Spare:
 		return request.Hurried()
 	}
 	return request
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -115,7 +115,7 @@
 	if h.closed {
 		return false
 	}
-	granted, ok := r.lane.Pool().TryHedge(h.over, r.ask().Hurried())
+	granted, ok := r.lane.Pool().TryHedge(h.over, r.ask().Second())
 	if !ok {
 		return false
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -66,8 +66,10 @@
 	started   time.Time
 	view      atomic.Pointer[view]
 	alive     atomic.Pointer[[]registrar.Instance]
-	toldAt    time.Duration // Used by the run goroutine alone.
-	heard     sync.Map      // From an instance's hash to *atomic.Int64, when it was last heard.
+	toldAt    time.Duration // Used by the run goroutine alone, as are the duties.
+	duties    *duties
+	known     atomic.Int64 // The latest revision of the store that was heard of.
+	heard     sync.Map     // From an instance's hash to *atomic.Int64, when it was last heard.
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -85,7 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Informer{
 		self: self, hash: registrar.Hash(string(self.ID())), publisher: p, news: news, checker: c, log: log,
-		socket: socket, started: time.Now(), cancel: cancel,
+		socket: socket, started: time.Now(), duties: &duties{}, cancel: cancel,
 	}
 	i.view.Store(&view{})
 	i.alive.Store(&[]registrar.Instance{self})
@@ -139,10 +141,12 @@
 
 // check asks the workers that fall to this instance and whose reports are old.
 func (i *Informer) check(ctx context.Context, v *view) {
-	live := i.live(v)
-	i.showLive(live)
-	for _, t := range v.targets {
-		if !t.due() || !i.mine(t, live) {
+	if live := i.live(v); !i.duties.hold(v, live) {
+		i.duties = newDuties(v, live)
+		i.showLive(live)
+	}
+	for n, t := range v.targets {
+		if i.duties.of[n].owner != i.hash || !t.due() {
 			continue
 		}
 		if t.state.busy.CompareAndSwap(false, true) {
@@ -178,36 +182,6 @@
 	i.alive.Store(&instances)
 }
 
-// mine tells whether the worker falls to this instance: to the one with the
-// highest hash in the worker's availability zone, or in the region if the zone
-// has none.
-func (i *Informer) mine(t *target, live []peer) bool {
-	zone := t.worker.Member().Place().Zone()
-	var best uint64
-	var owner uint32
-	for _, p := range live {
-		score := mix(uint64(t.hash)<<32|uint64(p.hash)) >> 1
-		if p.instance.Place().Zone() == zone {
-			score |= nearBit
-		}
-		if score >= best {
-			best, owner = score, p.hash
-		}
-	}
-	return owner == i.hash
-}
-
-// nearBit puts an instance of the worker's own zone before all others.
-const nearBit = 1 << 63
-
-// mix spreads the bits of a hash (Steele, Lea and Flood, "Fast Splittable
-// Pseudorandom Number Generators", 2014).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func (i *Informer) learn(ctx context.Context, t *target, health checker.Health) {
 	if ctx.Err() != nil {
 		return
--- a/informer/message.go
+++ b/informer/message.go
@@ -18,14 +18,14 @@
 	Version uint8
 	Count   uint8
 	Sender  uint32 // Hash of the sending instance's ID.
-	// Revision is the store's, up to which the sender knows the keys.
+	// Revision is one that the sender knows the store to have reached.
 	Revision int64
 }
 
 // record is a worker's report, or the word that it is away, with the sender's
-// own calls there.
+// own calls there; or when a peer was last heard.
 type record struct {
-	Worker  uint32 // Hash of the worker's ID and address.
+	Worker  uint32 // Hash of the worker's ID and address, or of the peer's ID.
 	Flags   uint8
 	Calls   uint8 // The sender's.
 	Running uint8
@@ -39,6 +39,7 @@
 	flagAway   = 1 << 0 // The worker did not answer.
 	flagAil    = 1 << 1 // The worker says that it is not well.
 	flagReport = 1 << 2 // The record has a report.
+	flagPeer   = 1 << 3 // The record is of a peer: only its age counts.
 	percent    = 100
 	mostCount  = math.MaxUint8
 )
@@ -57,6 +58,11 @@
 	return tracker.NewReport(int32(r.Running), int32(r.Waiting), int32(r.Slots), float64(max(r.Percent, 1))/percent, at).Heard()
 }
 
+// peerRecord tells how long ago a peer was heard.
+func peerRecord(peer uint32, ago time.Duration) record {
+	return record{Worker: peer, Flags: flagPeer, AgeMs: small(ago.Milliseconds())}
+}
+
 func encode(sender uint32, revision int64, records []record) ([]byte, error) {
 	records = records[:min(len(records), mostCount)]
 	data, err := decoder.Append(nil, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision})
--- a/informer/target.go
+++ b/informer/target.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"burdocklane/limiter"
+	"burdocklane/picker"
 	"burdocklane/tracker"
 )
 
@@ -22,6 +23,7 @@
 	away  atomic.Bool  // The last check had no answer, which is still to be told.
 	told  atomic.Int64 // The time of the last report that was told.
 	calls atomic.Int32 // The calls that were last told.
+	mood  atomic.Int32 // The mood that everybody was last told.
 }
 
 // due tells whether the worker is to be checked: its report is old, and it is
@@ -52,6 +54,35 @@
 	return r, fresh
 }
 
+// Moods of a worker.
+const (
+	moodCalm = int32(iota)
+	moodSlow
+	moodUnwell
+	moodAway
+)
+
+func (r record) mood() int32 {
+	switch {
+	case r.Flags&flagAway != 0:
+		return moodAway
+	case r.Flags&flagAil != 0:
+		return moodUnwell
+	case float64(r.Percent) >= picker.SlowPace*percent:
+		return moodSlow
+	}
+	return moodCalm
+}
+
+// turned tells whether the record shows another mood than the last one did.
+func (t *target) turned(r record) bool {
+	if r.Flags == 0 {
+		return false
+	}
+	mood := r.mood()
+	return t.state.mood.Swap(mood) != mood || mood == moodAway
+}
+
 // hear takes over a peer's word.
 func (t *target) hear(sender uint32, r record) {
 	t.worker.HearCalls(sender, int32(r.Calls), t.pool.Now())
--- a/informer/view.go
+++ b/informer/view.go
@@ -13,10 +13,10 @@
 	snapshot *publisher.Snapshot
 	targets  []*target
 	byHash   map[uint32]*target
-	council  []peer // Of the region, without this instance.
-	member   bool   // Whether this instance is in the council.
-	rest     []peer // Of the region, not in the council.
-	far      []peer // Of other regions.
+	council  []peer            // Of the region, without this instance.
+	member   bool              // Whether this instance is in the council.
+	rest     map[string][]peer // Of the region, not in the council, by availability zone.
+	far      []peer            // Of other regions.
 }
 
 type peer struct {
@@ -27,7 +27,7 @@
 
 // newView keeps the state of targets that stay.
 func newView(s *publisher.Snapshot, self registrar.Instance, old *view) *view {
-	v := &view{snapshot: s, byHash: map[uint32]*target{}}
+	v := &view{snapshot: s, byHash: map[uint32]*target{}, rest: map[string][]peer{}}
 	for _, service := range s.Deployment().Services() {
 		lane := s.Lane(service.Name())
 		if lane == nil {
@@ -73,5 +73,22 @@
 		v.council = append(v.council, p)
 		return
 	}
-	v.rest = append(v.rest, p)
+	zone := p.instance.Place().Zone()
+	v.rest[zone] = append(v.rest[zone], p)
+}
+
+// inReach returns the instances outside the council to which a member of a zone
+// speaks: those of its own zone, and those of zones where no member lives.
+func (v *view) inReach(zone string, live []peer) []peer {
+	served := map[string]bool{}
+	for _, p := range live {
+		served[p.instance.Place().Zone()] = true
+	}
+	var reach []peer
+	for other, rest := range v.rest {
+		if other == zone || !served[other] {
+			reach = append(reach, rest...)
+		}
+	}
+	return reach
 }
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -35,6 +35,7 @@
 	onBehalf bool
 	near     bool
 	spare    bool
+	second   bool
 }
 
 // AskOption sets one property of an Ask.
@@ -120,6 +121,17 @@
 	return a
 }
 
+// Second returns a of a second attempt beside a first one: it is hurried, and may
+// come late if nothing else needs the room.
+func (a Ask) Second() Ask {
+	a = a.Hurried()
+	a.second = true
+	return a
+}
+
+// IsSecond tells whether the call already has an attempt under way.
+func (a Ask) IsSecond() bool { return a.second }
+
 func (a *Ask) avoids(id registrar.WorkerID) bool {
 	for _, worker := range a.avoid {
 		if worker == id {
--- a/limiter/reported.go
+++ b/limiter/reported.go
@@ -102,7 +102,10 @@
 
 func (p *Pool) reportedPolicy(ask *Ask) picker.ReportedLoad {
 	policy := picker.NewReportedLoad(time.Until(ask.onTime), max(time.Until(ask.deadline), 1))
-	if ask.spare && ask.late() {
+	if ask.second {
+		policy = policy.Second()
+	}
+	if ask.second && ask.late() {
 		policy = policy.Urgent()
 	}
 	if ask.near {
--- a/limiter/reported_test.go
+++ b/limiter/reported_test.go
@@ -241,7 +241,7 @@
 			p := catalogue(4)
 			reportAll(p, test.running, 1)
 			now := time.Now()
-			ask := limiter.NewAsk(target, now.Add(3*target), limiter.WithAvoid("0")).OnTimeUntil(now.Add(test.left)).Hurried()
+			ask := limiter.NewAsk(target, now.Add(3*target), limiter.WithAvoid("0")).OnTimeUntil(now.Add(test.left)).Second()
 			granted, ok := p.TryHedge(context.Background(), ask)
 			c.Assert(ok, qt.Equals, test.granted)
 			if ok {
--- a/limiter/ruling.go
+++ b/limiter/ruling.go
@@ -117,7 +117,7 @@
 // for room. Without a slot, what is granted only tells what was seen.
 func (p *Pool) Decide(ask Ask) (Granted, picker.Decision) {
 	var seen Seen
-	if p.waiting.Load() > 0 && (!ask.spare || ask.late()) {
+	if p.waiting.Load() > 0 && (!ask.spare || (ask.second && ask.late())) {
 		return Granted{}, picker.Wait{}
 	}
 	worker, decision := p.try(p.policyFor(&ask), &ask, &seen)
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -22,6 +22,8 @@
 	coldFactor = 2.0
 	// calmPace is the pace under which a worker is not slowed by its machine.
 	calmPace = 1.5
+	// SlowPace is the pace from which a worker is too slow to wait for.
+	SlowPace = 3.0
 	// longestAge is the age that logs show of a report that there is none of.
 	longestAge = time.Hour
 )
--- a/picker/reported.go
+++ b/picker/reported.go
@@ -16,6 +16,9 @@
 	// queueShare is the part of the time left that a call may be expected to take
 	// where it has to wait for its turn.
 	queueShare = 0.8
+	// reserve is the share of the workers that a second attempt leaves with room
+	// for first ones.
+	reserve = 0.2
 	// suspectToll is the time that a suspect worker has to save.
 	suspectToll = 100 * time.Millisecond
 )
@@ -29,6 +32,7 @@
 	most   time.Duration
 	urgent bool
 	near   bool
+	second bool
 }
 
 // NewReportedLoad returns the policy for a call that is on time within onTime
@@ -60,12 +64,20 @@
 	return p
 }
 
+// Second returns p for a second attempt beside a first one, which is worth less
+// than the room that others may need soon.
+func (p ReportedLoad) Second() ReportedLoad {
+	p.second = true
+	return p
+}
+
 // pickReported takes the best worker with room that answers on time, or else one
 // that is crowded and still on time. An urgent call also takes one that has room
 // and is late: that is slow for reasons of its own, and the call takes nobody's
 // turn. Workers that an earlier attempt was sent to are left out.
 func pickReported(candidates []Candidate, p ReportedLoad, rng *rand.Rand) Decision {
-	roomy, crowded, late, usable := newLeast(), newLeast(), newLeast(), false
+	roomy, crowded, late := newLeast(), newLeast(), newLeast()
+	usable, weighed, withRoom := false, 0, 0
 	for i := range candidates {
 		c := &candidates[i]
 		if !routable(c.state) || c.avoid {
@@ -75,6 +87,10 @@
 		if p.near && c.distance >= farDistance {
 			continue
 		}
+		weighed++
+		if !c.crowded && c.latency <= int64(p.most) {
+			withRoom++
+		}
 		score := c.reportedScore(rng)
 		switch onTime := c.latency <= int64(p.onTime); {
 		case c.latency > int64(p.most):
@@ -89,9 +105,21 @@
 	if !usable {
 		return Refuse{}
 	}
+	if p.second {
+		return p.leaving(roomy.or(late.or(Wait{})), withRoom, weighed)
+	}
 	return roomy.or(crowded.or(late.or(Wait{})))
 }
 
+// leaving returns the decision for a second attempt, unless it would take room
+// from the reserve of first ones.
+func (p ReportedLoad) leaving(d Decision, withRoom, weighed int) Decision {
+	if float64(withRoom) <= reserve*float64(weighed) {
+		return Wait{}
+	}
+	return d
+}
+
 // reportedScore is the expected latency, varied and with the tolls.
 func (c *Candidate) reportedScore(rng *rand.Rand) int64 {
 	varied := float64(c.latency) * (1 + spread*rng.Float64())
--- a/picker/reported_test.go
+++ b/picker/reported_test.go
@@ -140,3 +140,36 @@
 		c.Assert(chosen[n] > 50, qt.IsTrue, qt.Commentf("%v", chosen))
 	}
 }
+
+// In a burst, second attempts must not take the room that first ones need.
+func TestSecondAttemptsLeaveRoomForFirstOnes(t *testing.T) {
+	idle, busy := worker{pace: 1}, worker{running: 2, pace: 1}
+	tests := []struct {
+		name    string
+		workers []worker
+		late    bool
+		sends   bool
+	}{
+		{"calm", []worker{idle, idle, idle, idle, idle}, false, true},
+		{"some room", []worker{idle, idle, busy, busy, busy}, false, true},
+		{"the reserve", []worker{idle, busy, busy, busy, busy}, false, false},
+		{"no worker without a crowd", []worker{busy, busy, busy, busy, busy}, false, false},
+		{"late, with room", []worker{idle, idle, busy, busy, busy}, true, true},
+		{"late, the reserve", []worker{idle, busy, busy, busy, busy}, true, false},
+		{"room is in another region", []worker{{pace: 1, distance: 2}, {pace: 1, distance: 2}, busy, busy, busy}, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			onTime := goal
+			if test.late {
+				onTime = -goal
+			}
+			policy := picker.NewReportedLoad(onTime, most).Near().Second()
+			if test.late {
+				policy = policy.Urgent()
+			}
+			_, sends := picker.Pick(policy, candidates(test.workers), rand.New(rand.NewPCG(1, 2))).(picker.Send)
+			qt.Assert(t, sends, qt.Equals, test.sends)
+		})
+	}
+}
--- a/registrar/council.go
+++ b/registrar/council.go
@@ -32,3 +32,20 @@
 	slices.SortFunc(council, func(a, b Instance) int { return cmp.Compare(a.id, b.id) })
 	return council
 }
+
+// Highest returns the instance with the highest hash for the name, other than the
+// one named except (Thaler and Ravishankar, "Using name-based mappings to increase
+// hit rates", 1998). It returns false if there is none.
+func Highest(instances []Instance, name string, except InstanceID) (Instance, bool) {
+	var best Instance
+	var bestScore uint32
+	for _, i := range instances {
+		if i.ID() == except {
+			continue
+		}
+		if score := Hash(name + "/" + string(i.ID())); best.id == "" || score >= bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best, best.id != ""
+}
--- a/retrier/hedge.go
+++ b/retrier/hedge.go
@@ -1,6 +1,10 @@
 package retrier
 
-import "time"
+import (
+	"time"
+
+	"burdocklane/picker"
+)
 
 const (
 	// hedgeFactor times the mean latency is when a second attempt starts, if
@@ -9,8 +13,6 @@
 	// hedgeFloor is the shortest delay of a hedged request: below it the
 	// precision of timers and the machine's own noise would start them.
 	hedgeFloor = 2 * time.Millisecond
-	// slowPace is the pace from which a worker is too slow to wait for.
-	slowPace = 3.0
 	// lateFactor times the usual time is when a call is late at a worker that
 	// reports a good pace.
 	lateFactor = 1.7
@@ -73,7 +75,7 @@
 	if !o.known {
 		return hedgeAt(max(time.Duration(hedgeFactor*float64(o.usual)), hedgeFloor), elapsed)
 	}
-	if o.pace >= slowPace {
+	if o.pace >= picker.SlowPace {
 		return Hedge{}
 	}
 	switch s := hedgeAt(o.due(elapsed), elapsed).(type) {
