Let one relay a zone follow the store

Change: the second one reads from the first, and follows the store as soon as the first does not serve; a question waits 0.3 s for an instance that is about to take over.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -151,7 +151,7 @@
 	}
 	revision := func() int64 { return c.follower.Revision() }
 	c.chooser = relayer.NewChooser(c.self(), revision, func() []registrar.Instance { return c.informer.Live() })
-	c.relay, err = relayer.New(c.settings.Peers(), func() bool { return c.follower.Reaches() }, c.log)
+	c.relay, err = relayer.New(c.settings.Peers(), func() bool { return c.follower.IsDirect() }, c.log)
 	if err != nil {
 		return err
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -50,6 +50,7 @@
 	reached atomic.Int64 // The store's revision up to which the copy is known.
 	lostAt  atomic.Int64 // When the store stopped answering this instance, or 0.
 	watch   atomic.Pointer[watch]
+	direct  atomic.Bool   // The keys are read from the store itself.
 	wake    chan struct{} // Tells that a peer reaches the store.
 
 	// The run goroutine alone uses what follows.
@@ -95,10 +96,13 @@
 // Revision returns the store's revision up to which the keys are known.
 func (f *Follower) Revision() int64 { return f.reached.Load() }
 
-// Reaches tells whether the store answers this instance. A watch that was cut
-// and is soon taken up again does not count.
-func (f *Follower) Reaches() bool {
+// IsDirect tells whether this instance follows the store itself, and the store
+// answers. A watch that was cut and is soon taken up again does not count.
+func (f *Follower) IsDirect() bool {
 	lostAt := f.lostAt.Load()
+	if !f.direct.Load() {
+		return false
+	}
 	return lostAt == 0 || f.now()-time.Duration(lostAt) < lostLeast
 }
 
@@ -206,6 +210,7 @@
 		return &StaleError{have: have, read: page.Revision()}
 	}
 	f.regained()
+	f.direct.Store(!relayed)
 	f.reached.Store(page.Revision())
 	f.copied.Replace(page.Pairs())
 	f.show()
--- a/relayer/chooser.go
+++ b/relayer/chooser.go
@@ -15,12 +15,12 @@
 const failedRest = 2 * time.Second
 
 // Chooser says which instances are relays: the members of the region's council
-// in an availability zone serve the others of that zone.
+// in an availability zone, of which the first one serves all others.
 type Chooser struct {
 	self    registrar.Instance
 	reached func() int64
 	client  *http.Client
-	relays  atomic.Pointer[[]registrar.Instance] // Of this instance's zone; empty if it is one itself.
+	relays  atomic.Pointer[[]registrar.Instance] // Those that this instance reads from, the first one first.
 	chosen  atomic.Value                         // The registrar.InstanceID of the last one.
 	resting sync.Map                             // From an instance's ID to the time until which it is not asked.
 	live    func() []registrar.Instance
@@ -37,47 +37,33 @@
 // Close drops the connections to relays.
 func (c *Chooser) Close() { c.client.CloseIdleConnections() }
 
-// Learn takes over the fleet's list, and tells whether this instance is a relay.
+// Learn takes over the fleet's list, and tells whether this instance may have to
+// be a relay. The first of the zone always is one; the next one reads from it, as
+// long as it serves.
 func (c *Chooser) Learn(instances []registrar.Instance) bool {
-	relays, self := []registrar.Instance{}, false
-	for _, member := range registrar.Council(instances, c.self.Place().Region()) {
-		if member.Place().Zone() == c.self.Place().Zone() {
-			relays = append(relays, member)
-		}
-		self = self || member.ID() == c.self.ID()
-	}
-	if self {
-		relays = nil
+	relays := registrar.FirstOfZone(instances, c.self.Place())
+	rank := slices.IndexFunc(relays, func(i registrar.Instance) bool { return i.ID() == c.self.ID() })
+	if rank >= 0 {
+		relays = relays[:rank]
 	}
 	c.relays.Store(&relays)
-	return self
+	return rank >= 0
 }
 
 // Wanted tells whether this instance is to read from relays.
 func (c *Chooser) Wanted() bool { return len(*c.relays.Load()) > 0 }
 
-// Next returns a relay that lives. The instances of a zone spread over its relays
-// (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
-// 1998).
+// Next returns the first relay that lives and has not failed of late.
 func (c *Chooser) Next() (storer.Store, bool) {
-	relays, alive := *c.relays.Load(), c.live()
-	var best registrar.Instance
-	var bestScore uint32
-	for _, relay := range relays {
-		score := registrar.Hash(string(c.self.ID()) + "/" + string(relay.ID()))
-		if c.rests(relay.ID()) {
-			continue
-		}
+	alive := c.live()
+	for _, relay := range *c.relays.Load() {
 		lives := slices.ContainsFunc(alive, func(i registrar.Instance) bool { return i.ID() == relay.ID() })
-		if lives && score >= bestScore {
-			best, bestScore = relay, score
+		if lives && !c.rests(relay.ID()) {
+			c.chosen.Store(relay.ID())
+			return newSource(c.client, relay.Peers(), c.reached), true
 		}
 	}
-	if best.ID() == "" {
-		return nil, false
-	}
-	c.chosen.Store(best.ID())
-	return newSource(c.client, best.Peers(), c.reached), true
+	return nil, false
 }
 
 // Failed notes that the last relay did not serve: it is left alone for a while.
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -29,6 +29,9 @@
 	// catchUpTime is how long a relay waits for a revision that the asker knows
 	// already.
 	catchUpTime = 1500 * time.Millisecond
+	// takeOverTime is how long a question waits for an instance that is about to
+	// take over from another relay.
+	takeOverTime = 300 * time.Millisecond
 	// readTimeout bounds the reading of a question.
 	readTimeout = 2 * time.Second
 	// idleTimeout is how long a connection may be unused.
@@ -48,7 +51,7 @@
 // itself.
 type Relay struct {
 	incarnation string
-	reaches     func() bool // Whether this instance reaches the store.
+	follows     func() bool // Whether this instance follows the store itself.
 	serving     atomic.Bool
 	copy        atomic.Pointer[keysCopy]
 	address     string
@@ -58,14 +61,14 @@
 	running     sync.WaitGroup
 }
 
-// New serves on the address. The function reaches tells whether this instance
-// reaches the store: a relay that does not answers that it cannot serve.
-func New(address string, reaches func() bool, log zerolog.Logger) (*Relay, error) {
+// New serves on the address. The function follows tells whether this instance
+// follows the store itself and reaches it: one that does not is no relay.
+func New(address string, follows func() bool, log zerolog.Logger) (*Relay, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen as a relay")
 	}
-	r := &Relay{incarnation: uuid.NewString(), reaches: reaches, address: socket.Addr().String()}
+	r := &Relay{incarnation: uuid.NewString(), follows: follows, address: socket.Addr().String()}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.copy.Store(newKeysCopy())
 	router := mux.NewRouter()
@@ -103,7 +106,7 @@
 // relays now.
 func (r *Relay) Hide() { r.serving.Store(false) }
 
-func (r *Relay) serves() bool { return r.serving.Load() && r.reaches() }
+func (r *Relay) serves() bool { return r.serving.Load() && r.follows() }
 
 // answerKeys answers with all keys, once they are not older than the asker's.
 func (r *Relay) answerKeys(w http.ResponseWriter, q *http.Request) {
@@ -112,7 +115,8 @@
 		http.Error(w, "no revision", http.StatusBadRequest)
 		return
 	}
-	current := r.await(q.Context(), catchUpTime, func(k *keysCopy) bool { return k.revision >= least })
+	r.await(q.Context(), takeOverTime, func(*keysCopy) bool { return r.serves() })
+	current := r.await(q.Context(), catchUpTime, func(k *keysCopy) bool { return k.revision >= least || !r.serves() })
 	if !r.serves() || current.revision < least {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -132,7 +136,7 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	current := r.await(q.Context(), holdTime, func(k *keysCopy) bool { return k.cursor > cursor })
+	current := r.await(q.Context(), holdTime, func(k *keysCopy) bool { return k.cursor > cursor || !r.serves() })
 	changes, known := current.since(cursor)
 	switch {
 	case !r.serves():
@@ -151,7 +155,7 @@
 	defer timer.Stop()
 	for {
 		current := r.copy.Load()
-		if enough(current) || !r.serves() {
+		if enough(current) {
 			return current
 		}
 		select {
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -174,6 +174,29 @@
 	c.Assert(errors.As(err, &compacted), qt.IsTrue)
 }
 
+// When the first relay is lost, the others ask the second one while it turns to
+// the store itself.
+func TestAQuestionWaitsForARelayThatTakesOver(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	var follows atomic.Bool
+	r, err := New(anyAddress, follows.Load, zerolog.Nop())
+	c.Assert(err, qt.IsNil)
+	defer r.Close()
+	r.Show(storer.NewPage(pairs(1), 1))
+	client := newClient()
+	defer client.CloseIdleConnections()
+	asked := make(chan error, 1)
+	go func() {
+		_, err := storer.Range(context.Background(), newSource(client, r.Address(), func() int64 { return 1 }), "")
+		asked <- err
+	}()
+	time.Sleep(takeOverTime / 10)
+	follows.Store(true)
+	r.Show(storer.NewPage(pairs(1), 1))
+	c.Assert(<-asked, qt.IsNil)
+}
+
 func member(id, zone string, power float64) registrar.Instance {
 	return registrar.NewInstance(registrar.InstanceID(id), id+":1", "", registrar.NewPlace("r", zone), false).WithPower(power)
 }
@@ -189,6 +212,8 @@
 		found  bool
 	}{
 		{"a member of the council", fleet[0], fleet[:2], true, false, false},
+		{"the second of the council", fleet[1], fleet[:2], true, true, true},
+		{"the second, when the first is away", fleet[1], fleet[1:2], true, true, false},
 		{"one of the others", fleet[2], fleet[:2], false, true, true},
 		{"one relay lives", fleet[2], fleet[1:2], false, true, true},
 		{"no relay lives", fleet[2], fleet[4:], false, true, false},
@@ -215,7 +240,7 @@
 
 func TestARelayAnswersWhileNothingChanges(t *testing.T) {
 	c := qt.New(t)
-	r := &Relay{incarnation: "i", reaches: func() bool { return true }, ctx: context.Background()}
+	r := &Relay{incarnation: "i", follows: func() bool { return true }, ctx: context.Background()}
 	r.copy.Store(newKeysCopy())
 	r.Show(storer.NewPage(pairs(1), 1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
