Soak the program for the users' platform

Cause: the soak ran 'burdocklane serve' only; nothing played faults against the program that the users run, from outside and in overlapping series.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -104,7 +104,7 @@
 	}
 	debug.SetGCPercent(collectPercent)
 	lines := diode.NewWriter(output, linesKept, 0, func(missed int) { linesLost.Add(missed) })
-	log := zerolog.New(lines).Level(zerolog.InfoLevel).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
+	log := recorder.NewLog(lines, zerolog.InfoLevel, settings.Instance())
 	log.Info().Str("region", settings.Place().Region()).Str("zone", settings.Place().Zone()).Msg("instance starts")
 	c := &Conductor{settings: settings, log: log, lines: lines}
 	c.layCalls()
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -14,6 +14,7 @@
 
 	"burdocklane/conductor"
 	adapter "burdocklane/platform"
+	"burdocklane/platform/imitator"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -22,7 +23,7 @@
 // rig is the stand-in of the store, some workers and one instance.
 type rig struct {
 	c        *qt.C
-	store    *standIn
+	store    *imitator.Store
 	instance *conductor.Conductor
 	callers  string
 	ready    string
@@ -64,7 +65,8 @@
 }
 
 func newRig(c *qt.C) *rig {
-	r := &rig{c: c, store: newStandIn(c), callers: freePort(c), ready: freePort(c)}
+	r := &rig{c: c, store: imitator.NewStore(), callers: freePort(c), ready: freePort(c)}
+	c.Cleanup(r.store.Close)
 	port := freePair(c)
 	settings, err := adapter.ParseSettings(fmt.Appendf(nil, `NodeName=edge-1
 Ip=127.0.0.1
@@ -76,7 +78,7 @@
 InternalPorts=%d,%d
 Bounds=DrainMs=600,ConfigApplyMs=600,GraceS=6
 Platform.Address=%s
-`, r.callers, r.ready, port, port+1, r.store.address()))
+`, r.callers, r.ready, port, port+1, r.store.Address()))
 	c.Assert(err, qt.IsNil)
 	r.instance, err = conductor.New(settings, io.Discard)
 	c.Assert(err, qt.IsNil)
@@ -153,18 +155,18 @@
 
 	var first, second atomic.Int64
 	one, two := r.worker("one", &first), r.worker("two", &second)
-	r.store.put("servers/bad", "\xff")
-	r.store.put("servers/one", one("ready"))
-	r.store.put("op/config", configured(3, "/a/"))
+	r.store.Put("servers/bad", "\xff")
+	r.store.Put("servers/one", one("ready"))
+	r.store.Put("op/config", configured(3, "/a/"))
 	r.await("/a/1", http.StatusOK)
 	c.Assert(r.isReady(), qt.IsTrue)
 
-	r.store.put("op/config", configured(5, "/b/"))
+	r.store.Put("op/config", configured(5, "/b/"))
 	r.await("/b/1", http.StatusOK)
 	r.await("/a/1", http.StatusNotFound)
-	r.store.put("op/config", configured(4, "/a/"))
-	r.store.put("servers/two", two("ready"))
-	r.store.put("servers/one", one("draining"))
+	r.store.Put("op/config", configured(4, "/a/"))
+	r.store.Put("servers/two", two("ready"))
+	r.store.Put("servers/one", one("draining"))
 	for {
 		if _, body := r.call("/b/2"); body == "two" {
 			break
@@ -173,8 +175,8 @@
 	status, _ = r.call("/a/1")
 	c.Assert(status, qt.Equals, http.StatusNotFound, qt.Commentf("an older configuration does not come back"))
 
-	r.store.remove("servers/one")
-	r.store.setDown(true)
+	r.store.Remove("servers/one")
+	r.store.SetDown(true)
 	before := first.Load()
 	for range 20 {
 		status, body := r.call("/b/3")
@@ -182,8 +184,8 @@
 		c.Assert(body, qt.Equals, "two")
 	}
 	c.Assert(first.Load(), qt.Equals, before)
-	r.store.setDown(false)
-	r.store.put("op/config", configured(7, "/c/"))
+	r.store.SetDown(false)
+	r.store.Put("op/config", configured(7, "/c/"))
 	r.await("/c/1", http.StatusOK)
 
 	stopped := make(chan error, 1)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -26,6 +26,7 @@
 	dir      string
 	env      []string
 	platform string
+	keep     bool
 	started  *processes
 }
 
@@ -49,6 +50,9 @@
 // WithEnvironment adds NAME=VALUE to each process's environment.
 func WithEnvironment(env ...string) Option { return func(l *Launcher) { l.env = env } }
 
+// WithOutputKept writes what processes print to their logs.
+func WithOutputKept() Option { return func(l *Launcher) { l.keep = true } }
+
 // New returns a Launcher of the binary that writes settings and logs to the
 // directory.
 func New(binary, dir string, opts ...Option) *Launcher {
@@ -81,7 +85,7 @@
 
 // Start runs the binary with the arguments.
 func (l *Launcher) Start(name string, args ...string) (*Process, error) {
-	p, err := start(l.binary, l.dir, name, l.env, args)
+	p, err := start(l.binary, l.dir, name, l.keep, l.env, args)
 	if err != nil {
 		return nil, err
 	}
@@ -222,7 +226,7 @@
 // StartInstance starts an instance, and lists it with the platform's stand-in.
 // It does not wait until the instance is ready.
 func (l *Launcher) StartInstance(spec InstanceSpec) (*Instance, error) {
-	ports, err := freePorts(spec.host, 3)
+	ports, err := FreePorts(spec.host, 3)
 	if err != nil {
 		return nil, err
 	}
@@ -294,8 +298,8 @@
 	portTries = 1000
 )
 
-// freePorts returns addresses on the host that nothing listens on now.
-func freePorts(host string, count int) ([]string, error) {
+// FreePorts returns addresses on the host that nothing listens on now.
+func FreePorts(host string, count int) ([]string, error) {
 	var addresses []string
 	for range portTries {
 		if len(addresses) == count {
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -23,6 +24,7 @@
 	name   string
 	cmd    *exec.Cmd
 	log    *os.File
+	keep   bool // Whether the output goes to the log.
 	first  chan string
 	exited chan struct{}
 	err    error
@@ -76,12 +78,12 @@
 
 // start runs the binary with the arguments; its standard error goes to a file
 // in the directory.
-func start(binary, dir, name string, env, args []string) (*Process, error) {
+func start(binary, dir, name string, keep bool, env, args []string) (*Process, error) {
 	log, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "start process")
 	}
-	p := &Process{name: name, cmd: exec.Command(binary, args...), log: log, first: make(chan string, 1), exited: make(chan struct{})}
+	p := &Process{name: name, cmd: exec.Command(binary, args...), log: log, keep: keep, first: make(chan string, 1), exited: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stderr = log
 	output, err := p.cmd.StdoutPipe()
@@ -104,6 +106,9 @@
 		p.first <- scanner.Text()
 	}
 	for scanner.Scan() { // Keeps the pipe empty.
+		if p.keep {
+			fmt.Fprintln(p.log, scanner.Text()) //nolint:errcheck // Logs of experiments only.
+		}
 	}
 }
 
@@ -114,6 +119,13 @@
 	close(p.exited)
 }
 
+// AwaitOutput waits until the process has printed a line: from then on it handles
+// signals.
+func (p *Process) AwaitOutput() error {
+	_, err := p.firstWord()
+	return err
+}
+
 // firstWord waits for the first line and returns its last word, which is the
 // address that the stand-ins print.
 func (p *Process) firstWord() (string, error) {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,7 +24,7 @@
 
 // Run runs the command line and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
-	cmd := newCommand()
+	cmd := newCommand(listen())
 	cmd.SetArgs(args)
 	cmd.SetOut(stdout)
 	cmd.SetErr(stderr)
@@ -40,7 +40,22 @@
 	return statusFailed
 }
 
-func newCommand() *cobra.Command {
+// signals are those that the platform sends.
+type signals struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+// listen takes the signals from the start: one to reload must not end a process
+// that is not open yet.
+func listen() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func newCommand(s signals) *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:           "burdocklane-instance",
@@ -48,17 +63,13 @@
 		Args:          cobra.NoArgs,
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd, path) },
+		RunE:          func(cmd *cobra.Command, _ []string) error { return run(cmd, path, s) },
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(adapter.SettingsVariable), "the platform's settings file")
 	return cmd
 }
 
-func run(cmd *cobra.Command, path string) error {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
+func run(cmd *cobra.Command, path string, s signals) error {
 	settings, err := read(path)
 	if err != nil {
 		return err
@@ -69,10 +80,10 @@
 	}
 	for {
 		select {
-		case <-reload:
+		case <-s.reload:
 			settings, err := read(path)
 			instance.Reload(settings, err)
-		case <-stop:
+		case <-s.stop:
 			return instance.Close()
 		}
 	}
--- /dev/null
+++ b/soaker/fleet_test.go
@@ -0,0 +1,197 @@
+package soaker_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"burdocklane/launcher"
+	"burdocklane/platform/imitator"
+
+	"github.com/Shopify/toxiproxy"
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	host        = "127.0.0.1"
+	serviceName = "service"
+	workerCount = 5
+	configKey   = "op/config"
+	drainTime   = 2 * time.Second
+)
+
+// zones are those of the instances: one of the three of a has the store's keys for
+// the others.
+var zones = []string{"a", "a", "a", "b"}
+
+// fleet is everything that a run has started.
+type fleet struct {
+	c        *qt.C
+	launcher *launcher.Launcher
+	store    *imitator.Store
+
+	mutex     sync.Mutex // Guards what follows.
+	workers   []*member
+	instances []*instance
+	lives     []*life
+	version   int
+}
+
+// member is a worker behind a proxy.
+type member struct {
+	worker *imitator.Worker
+	proxy  *toxiproxy.Proxy
+	gone   bool
+	// leftAt is when the store took note that the worker leaves, if it must get no
+	// calls after drainTime.
+	leftAt time.Time
+}
+
+// instance is a place where processes live one after the other.
+type instance struct {
+	name     string
+	callers  string
+	settings string
+	storer   *toxiproxy.Proxy
+	busy     sync.Mutex // Held by the fault that plays with the process.
+	life     *life
+}
+
+// life is one process of an instance.
+type life struct {
+	process *launcher.Process
+	callers string
+	mutex   sync.Mutex // Guards what follows.
+	// disturbed tells that calls may have been cut.
+	disturbed bool
+	served    int // The latest configuration that was seen in force.
+}
+
+func (l *life) disturb() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.disturbed = true
+}
+
+func (l *life) isDisturbed() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.disturbed
+}
+
+func newProxy(c *qt.C, upstream string) *toxiproxy.Proxy {
+	logrus.SetOutput(io.Discard)
+	p := toxiproxy.NewProxy()
+	p.Name, p.Listen, p.Upstream = "proxy", host+":0", upstream
+	c.Assert(p.Start(), qt.IsNil)
+	c.Cleanup(p.Stop)
+	return p
+}
+
+func newFleet(t *testing.T, binary string) *fleet {
+	c := qt.New(t)
+	dir := filepath.Join(os.TempDir(), "burdocklane-soak", strings.ReplaceAll(t.Name(), "/", "-"))
+	c.Assert(os.RemoveAll(dir), qt.IsNil)
+	c.Assert(os.MkdirAll(dir, 0o700), qt.IsNil)
+	f := &fleet{c: c, launcher: launcher.New(binary, dir, launcher.WithOutputKept()), store: imitator.NewStore()}
+	c.Cleanup(f.store.Close)
+	c.Cleanup(f.launcher.Close)
+	f.configure()
+	for n := range workerCount {
+		f.addWorker(fmt.Sprintf("worker-%d", n))
+	}
+	for n, zone := range zones {
+		f.addInstance(fmt.Sprintf("edge-%d", n), zone)
+	}
+	return f
+}
+
+// configure puts the next configuration in force, which has one route more.
+func (f *fleet) configure() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.version++
+	var routes []string
+	for n := 1; n <= f.version; n++ {
+		routes = append(routes, fmt.Sprintf(`"safe-%[1]d":{"Host":"h.example","Prefix":"/safe/%[1]d/",%[2]s,"Kind":"safe"},`+
+			`"once-%[1]d":{"Host":"h.example","Prefix":"/once/%[1]d/",%[2]s,"Kind":"unsafe"}`, n,
+			`"TimeoutMs":2000,"TargetLatencyMs":300,"MaxAttempts":3,"Service":"`+serviceName+`"`))
+	}
+	f.store.Put(configKey, fmt.Sprintf(`{"Version":"r%d","Routes":{%s},"Services":{%q:{"HealthPath":%q}},"Limits":{"IdleTimeoutMs":15000}}`,
+		f.version, strings.Join(routes, ","), serviceName, imitator.HealthPath))
+}
+
+func (f *fleet) latest() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.version
+}
+
+func (f *fleet) addWorker(id string) {
+	w := imitator.NewWorker(id)
+	f.c.Cleanup(w.Close)
+	m := &member{worker: w, proxy: newProxy(f.c, w.Address())}
+	f.list(m, "ready")
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.workers = append(f.workers, m)
+}
+
+func (f *fleet) list(m *member, state string) {
+	f.store.Put(m.worker.Entry(serviceName, "a", m.proxy.Listen, state))
+}
+
+func (f *fleet) addInstance(name, zone string) {
+	ports, err := launcher.FreePorts(host, 3)
+	f.c.Assert(err, qt.IsNil)
+	i := &instance{name: name, callers: ports[0], storer: newProxy(f.c, f.store.Address())}
+	_, internal, err := net.SplitHostPort(ports[2])
+	f.c.Assert(err, qt.IsNil)
+	first, err := strconv.Atoi(internal)
+	f.c.Assert(err, qt.IsNil)
+	i.settings = filepath.Join(f.launcher.Dir(), name+".conf")
+	f.c.Assert(os.WriteFile(i.settings, fmt.Appendf(nil, `NodeName=%s
+Ip=%s
+Zone=%s
+Region=r
+Zones.a=r
+Zones.b=r
+Listen.Front=%s
+Listen.Ready=%s
+InternalPorts=%d,%d
+Bounds=DrainMs=%d,ConfigApplyMs=%d,GraceS=6
+Platform.Address=%s
+`, name, host, zone, ports[0], ports[1], first, first+1, drainTime.Milliseconds(), drainTime.Milliseconds(), i.storer.Listen), 0o600), qt.IsNil)
+	f.instances = append(f.instances, i)
+	f.start(i)
+}
+
+// start begins another life of the instance.
+func (f *fleet) start(i *instance) {
+	p, err := f.launcher.Start(i.name, "--settings", i.settings)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Check(p.AwaitOutput(), qt.IsNil)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	i.life = &life{process: p, callers: i.callers}
+	f.lives = append(f.lives, i.life)
+}
+
+// living returns the lives that callers may use now.
+func (f *fleet) living() []*life {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var lives []*life
+	for _, i := range f.instances {
+		lives = append(lives, i.life)
+	}
+	return lives
+}
