Tell the cause of a call from the lines of several instances

Cause: log lines had whole seconds, a lost attempt that was tried again left no line, its error was told nowhere, and 'explain' printed lines of one file.

Change: times in milliseconds; a line for each further attempt with what ended the last; 'error' and 'target-ms'; package explainer puts lines of several instances in order, and names the cause; 'explain --at' tells what an instance believed. One function makes both programs' logs.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"burdocklane/retrier"
 	"burdocklane/sleeper"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -114,6 +115,7 @@
 		case retrier.Settle:
 			return r.settle(last, s.Outcome())
 		case retrier.Again:
+			r.record("again", retrier.Text(last.result), last, 0, time.Since(r.call.Arrival()), last.granted.Seen())
 			r.abandon(last)
 			if !sleeper.Sleep(r.ctx, s.Delay()) {
 				return r.gaveUp("cancelled")
@@ -259,6 +261,7 @@
 	r.d.recorder.Record(recorder.NewDecision(r.call.ID(), time.Now(), "refuse", reason,
 		recorder.WithClass(r.call.Service().Name(), r.call.Class().Name()),
 		recorder.WithSeen(refusal.Seen()),
+		recorder.WithTarget(r.call.Class().Target().Latency()),
 		recorder.WithTimes(refusal.Waited(), time.Since(r.call.Arrival()))))
 	return r.gaveUp(reason)
 }
@@ -281,9 +284,34 @@
 		recorder.WithAttempt(a.number+1, a.worker.ID()),
 		recorder.WithSeen(seen),
 		recorder.WithStatus(status),
+		recorder.WithTarget(r.call.Class().Target().Latency()),
+		recorder.WithError(r.failure(a)),
 		recorder.WithTimes(waited, took)))
 }
 
+// failure returns how the attempt broke, or nil. What ended by the deadline broke
+// by that, whatever the connection then told.
+func (r *run) failure(a *attempt) error {
+	switch result := a.result.(type) {
+	case retrier.Lost:
+		if r.ctx.Err() != nil {
+			return errCallerLeft
+		}
+		if !time.Now().Before(r.call.Deadline()) {
+			return errDeadline
+		}
+		return result.Err()
+	case retrier.Unsent:
+		return result.Err()
+	}
+	return nil
+}
+
+var (
+	errCallerLeft = errors.New("caller has left")
+	errDeadline   = errors.New("deadline of the call")
+)
+
 // serviceLabel returns the labels of a class in metrics.
 func serviceLabel(s descriptor.ServiceName, c descriptor.ClassName) string {
 	return `service="` + string(s) + `",class="` + string(c) + `"`
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,146 @@
+package explainer_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"burdocklane/explainer"
+	"burdocklane/recorder"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func after(milliseconds int) time.Time {
+	return start.Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+// written returns the lines as instances write them.
+func written(c *qt.C, instance string, decisions ...recorder.Decision) string {
+	var out bytes.Buffer
+	log := recorder.NewLog(&out, zerolog.InfoLevel, "")
+	r := recorder.New(log.With().Str("instance", instance).Logger())
+	for _, d := range decisions {
+		r.Record(d)
+	}
+	r.Close()
+	return out.String()
+}
+
+func decision(id string, at int, choice, reason string, opts ...recorder.DecisionOption) recorder.Decision {
+	return recorder.NewDecision(id, after(at), choice, reason, append(opts, recorder.WithClass("s", "c"))...)
+}
+
+func TestTheCauseOfACall(t *testing.T) {
+	target := recorder.WithTarget(200 * time.Millisecond)
+	took := func(ms int) recorder.DecisionOption { return recorder.WithTimes(0, time.Duration(ms)*time.Millisecond) }
+	send := decision("x", 0, "send", "assigned", recorder.WithAttempt(1, "w1"), target)
+	tests := []struct {
+		name      string
+		decisions []recorder.Decision
+		want      string
+	}{
+		{"on time", []recorder.Decision{send, decision("x", 100, "pass", "answered", target, took(100))}, "answered on time"},
+		{
+			"a slow worker",
+			[]recorder.Decision{send, decision("x", 300, "pass", "answered", recorder.WithAttempt(1, "w1"), target, took(300))},
+			"answered late: worker w1 took 300.0 ms",
+		},
+		{
+			"it waited for long",
+			[]recorder.Decision{
+				decision("x", 180, "send", "waited-for-slot", recorder.WithAttempt(1, "w1"), recorder.WithTimes(180*time.Millisecond, 0)),
+				decision("x", 230, "pass", "answered", target, took(230)),
+			},
+			"answered late: it waited 180.0 ms for a worker",
+		},
+		{
+			"a second attempt",
+			[]recorder.Decision{
+				send, decision("x", 150, "send", "hedge", recorder.WithAttempt(2, "w2")),
+				decision("x", 250, "pass", "answered", recorder.WithAttempt(2, "w2"), target, took(250)),
+			},
+			"answered late: 2 attempts were made; the last was at w2",
+		},
+		{
+			"no room",
+			[]recorder.Decision{decision("x", 25, "refuse", "overload", recorder.WithTimes(25*time.Millisecond, 25*time.Millisecond))},
+			"refused, it has not run: no worker of s had room that would answer in time, for 25.0 ms",
+		},
+		{
+			"a lost answer",
+			[]recorder.Decision{send, decision("x", 90, "unknown", "attempt-lost", recorder.WithAttempt(1, "w1"), recorder.WithError(errors.New("EOF")), took(90))},
+			"outcome unknown, it may have run: attempt 1 at w1 ended after 90.0 ms: EOF",
+		},
+		{"cut on the way", []recorder.Decision{send, decision("x", 9, "broken", "transfer-broken")}, "the answer broke off"},
+		{"no end", []recorder.Decision{send}, "no line tells how it ended"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			lines, err := explainer.Read(strings.NewReader(written(c, "i", test.decisions...)))
+			c.Assert(err, qt.IsNil)
+			story, ok := explainer.Tell(lines, "x")
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(explainer.Text(story.Cause()), qt.Contains, test.want)
+		})
+	}
+}
+
+// A call that came back to another instance is one story, in the order of time,
+// whatever stands between the lines.
+func TestLinesOfSeveralInstancesAreOneStory(t *testing.T) {
+	c := qt.New(t)
+	second := written(c, "two", decision("x", 60, "send", "assigned"), decision("y", 61, "send", "assigned"))
+	first := written(c, "one", decision("x", 10, "refuse", "overload"))
+	log := "  33.48 two " + second + "no JSON\n{\"half\n" + first
+	lines, err := explainer.Read(strings.NewReader(log))
+	c.Assert(err, qt.IsNil)
+	story, ok := explainer.Tell(lines, "x")
+	c.Assert(ok, qt.IsTrue)
+	var out strings.Builder
+	c.Assert(story.Write(&out), qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "0.0 ms  one  refuse (overload)")
+	c.Assert(out.String(), qt.Contains, "50.0 ms  two  send (assigned)")
+	_, ok = explainer.Tell(lines, "z")
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestWhatAnInstanceBelieved(t *testing.T) {
+	line := func(second int, instance, message string) string {
+		return fmt.Sprintf(`{"time":"2026-12-04T10:00:%02d.000Z","instance":%q,"message":%q}`+"\n", second, instance, message)
+	}
+	log := line(1, "i", "instance starts") + line(2, "i", "configuration is in force") + line(3, "i", "lost the store") +
+		line(4, "j", "lost the store") + line(5, "i", "regained the store") + line(6, "i", "configuration is in force") +
+		line(8, "i", "instance starts")
+	tests := []struct {
+		name     string
+		instance string
+		second   int
+		want     []string
+	}{
+		{"before its start", "i", 0, nil},
+		{"without the store", "i", 4, []string{"instance starts", "configuration is in force", "lost the store"}},
+		{"with the store again", "i", 7, []string{"instance starts", "regained the store", "configuration is in force"}},
+		{"after another start", "i", 9, []string{"instance starts"}},
+		{"another instance", "j", 9, []string{"lost the store"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			lines, err := explainer.Read(strings.NewReader(log))
+			c.Assert(err, qt.IsNil)
+			var got []string
+			for _, l := range explainer.Beliefs(lines, test.instance, after(1000*test.second)) {
+				got = append(got, l.Message())
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/recorder/decision.go
+++ b/recorder/decision.go
@@ -27,6 +27,8 @@
 	waited  time.Duration
 	took    time.Duration
 	status  int
+	target  time.Duration
+	err     error
 }
 
 // DecisionOption sets one property of a Decision.
@@ -53,6 +55,12 @@
 // WithStatus sets the status of the answer.
 func WithStatus(status int) DecisionOption { return func(d *Decision) { d.status = status } }
 
+// WithTarget sets the time within which an answer is on time.
+func WithTarget(target time.Duration) DecisionOption { return func(d *Decision) { d.target = target } }
+
+// WithError sets what went wrong, if anything did.
+func WithError(err error) DecisionOption { return func(d *Decision) { d.err = err } }
+
 // NewDecision returns the decision for the call with the request ID.
 func NewDecision(id string, at time.Time, choice, reason string, opts ...DecisionOption) Decision {
 	d := Decision{id: id, at: at, choice: choice, reason: reason}
@@ -83,7 +91,18 @@
 	if d.status != 0 {
 		e.Int("status", d.status)
 	}
-	const perMillisecond = float64(time.Millisecond)
-	e.Float64("waited-ms", float64(d.waited)/perMillisecond)
-	e.Float64("took-ms", float64(d.took)/perMillisecond)
+	if d.err != nil {
+		e.Str("error", d.err.Error())
+	}
+	if d.target > 0 {
+		e.Int64("target-ms", d.target.Milliseconds())
+	}
+	e.Float64("waited-ms", milliseconds(d.waited))
+	e.Float64("took-ms", milliseconds(d.took))
+}
+
+// milliseconds returns d to a tenth of a millisecond.
+func milliseconds(d time.Duration) float64 {
+	const tenth = 100 * time.Microsecond
+	return float64(d.Round(tenth)/tenth) / 10
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
-	return zerolog.New(output).Level(level).With().Timestamp().Str("instance", string(settings.Instance())).Logger()
+	return recorder.NewLog(output, level, settings.Instance())
 }
 
 func (s *Supervisor) self() registrar.Instance {
