Hand on only what the store holds

A relay that had been cut off for 8 s read the keys again, kept the workers that had gone meanwhile for two seconds, as those may return after an outage, and served them to its zone. Two instances that had long known the worker to be gone read from it 1 ms and 570 ms later, and sent it calls.

Ruled out: the arbiter (both instances decided alone), the store's list (it did not name the worker), a stale revision (the relay's was the latest).

Change: a relay serves what the store holds and says when it is recovering; those that read from it keep what they know themselves, and bring nothing back. A reader from before the outage reads all keys anew once.

Tests: follower.TestARelayThatRecovers, TestWhatIsHandedOn; relayer.TestChangesAcrossAnOutage.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -181,10 +181,10 @@
 }
 
 // learn puts what the store holds in force.
-func (c *Conductor) learn(page storer.Page) {
-	list, changed := c.directory.Read(page.Pairs())
-	c.registrant.Seen(page.Pairs())
-	c.relayed(list, page)
+func (c *Conductor) learn(usable []storer.Pair, stored storer.Page) {
+	list, changed := c.directory.Read(usable)
+	c.registrant.Seen(usable)
+	c.relayed(list, stored)
 	if changed != nil {
 		if err := c.publisher.PublishDeployment(*changed, "store"); err != nil {
 			c.log.Warn().Err(err).Msg("an older configuration was ignored")
@@ -199,12 +199,12 @@
 }
 
 // relayed hands the keys on, if this instance is a relay.
-func (c *Conductor) relayed(list registrar.List, page storer.Page) {
+func (c *Conductor) relayed(list registrar.List, stored storer.Page) {
 	if !c.chooser.Learn(list.Instances()) {
 		c.relay.Hide()
 		return
 	}
-	c.relay.Show(page)
+	c.relay.Show(stored)
 }
 
 // open serves callers, and the platform's question whether it may send them.
--- a/follower/copy.go
+++ b/follower/copy.go
@@ -96,3 +96,13 @@
 	slices.SortFunc(pairs, func(a, b storer.Pair) int { return cmp.Compare(a.Key(), b.Key()) })
 	return pairs
 }
+
+// Page returns the keys that the store holds at the revision, without the missing
+// ones: others may know that these have gone for good.
+func (c *Copy) Page(revision int64) storer.Page {
+	pairs := slices.DeleteFunc(c.Pairs(), func(p storer.Pair) bool {
+		_, missing := c.missing[p.Key()]
+		return missing
+	})
+	return storer.NewPage(pairs, revision).Recovering(!c.until.IsZero())
+}
--- a/follower/copy_test.go
+++ b/follower/copy_test.go
@@ -22,6 +22,35 @@
 	return storer.NewPair(key, []byte(value), revision)
 }
 
+// What has gone, but may return, is used by this instance and not handed on:
+// others may know better.
+func TestWhatIsHandedOn(t *testing.T) {
+	tests := []struct {
+		name       string
+		forgiven   bool
+		handedOn   int
+		usable     int
+		recovering bool
+	}{
+		{"a removal", false, 1, 1, false},
+		{"a removal after an outage", true, 1, 2, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			x := follower.NewCopy()
+			x.Replace([]storer.Pair{pair("a", "1", 1), pair("b", "1", 2)})
+			if test.forgiven {
+				x.Forgive(time.Now().Add(time.Minute))
+			}
+			x.Replace([]storer.Pair{pair("b", "1", 2)})
+			c.Assert(x.Page(3).Pairs(), qt.HasLen, test.handedOn)
+			c.Assert(x.Pairs(), qt.HasLen, test.usable)
+			c.Assert(x.Page(3).IsRecovering(), qt.Equals, test.recovering)
+		})
+	}
+}
+
 func TestCopy(t *testing.T) {
 	start := time.Unix(1000, 0)
 	forgiven := start.Add(2 * time.Second)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -43,7 +43,7 @@
 	started time.Time // The times that follow are durations since then.
 	store   storer.Store
 	prefix  string
-	receive func(storer.Page)
+	receive func(usable []storer.Pair, stored storer.Page)
 	relays  Relays
 	log     zerolog.Logger
 	contact atomic.Int64
@@ -68,9 +68,10 @@
 // WithRelays lets the Follower read from relays. Without them it asks the store.
 func WithRelays(r Relays) Option { return func(f *Follower) { f.relays = r } }
 
-// New returns a Follower that hands all keys over whenever any has changed, with
-// the store's revision.
-func New(store storer.Store, prefix string, receive func(storer.Page), log zerolog.Logger, opts ...Option) *Follower {
+// New returns a Follower that hands all keys over whenever any has changed: those
+// to use, with the ones that may still return after an outage, and those that the
+// store holds.
+func New(store storer.Store, prefix string, receive func(usable []storer.Pair, stored storer.Page), log zerolog.Logger, opts ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
 		started: time.Now(), ctx: ctx, store: store, prefix: prefix, receive: receive, relays: NoRelays(), log: log,
@@ -159,6 +160,9 @@
 // turn follows the relays as long as one serves, and then the store itself.
 func (f *Follower) turn(ctx context.Context) error {
 	f.followRelays(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	return f.follow(ctx, f.store, false)
 }
 
@@ -210,6 +214,9 @@
 		return &StaleError{have: have, read: page.Revision()}
 	}
 	f.regained()
+	if page.IsRecovering() {
+		f.copied.Forgive(time.Now().Add(returnGrace))
+	}
 	f.direct.Store(!relayed)
 	f.reached.Store(page.Revision())
 	f.copied.Replace(page.Pairs())
@@ -270,4 +277,4 @@
 	}
 }
 
-func (f *Follower) show() { f.receive(storer.NewPage(f.copied.Pairs(), f.reached.Load())) }
+func (f *Follower) show() { f.receive(f.copied.Pairs(), f.copied.Page(f.reached.Load())) }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -62,7 +62,7 @@
 				return storer.Batch{}, ctx.Err()
 			}
 			seen := make(chan int64, 8)
-			f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Pairs()[0].Revision() }, zerolog.Nop())
+			f := follower.New(s.store(), "", func(usable []storer.Pair, _ storer.Page) { seen <- usable[0].Revision() }, zerolog.Nop())
 			f.Start()
 			defer f.Close()
 			c.Assert(<-seen, qt.Equals, int64(1))
@@ -80,7 +80,7 @@
 		return storer.Batch{}, ctx.Err()
 	}}
 	seen := make(chan int64, 8)
-	f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Pairs()[0].Revision() }, zerolog.Nop())
+	f := follower.New(s.store(), "", func(usable []storer.Pair, _ storer.Page) { seen <- usable[0].Revision() }, zerolog.Nop())
 	f.Start()
 	defer f.Close()
 	c.Assert(<-seen, qt.Equals, int64(1))
@@ -130,7 +130,7 @@
 			var failed atomic.Bool
 			next := func() (storer.Store, bool) { return test.relay, test.relay != nil && !failed.Load() }
 			seen := make(chan int64, 8)
-			f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
+			f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.Page) { seen <- stored.Revision() }, zerolog.Nop(),
 				follower.WithRelays(follower.NewRelays(func() bool { return true }, next, func() { failed.Store(true) }, time.Millisecond)))
 			f.Start()
 			defer f.Close()
@@ -171,10 +171,63 @@
 	var failed atomic.Bool
 	next := func() (storer.Store, bool) { return lagging, !failed.Load() }
 	seen := make(chan int64, 8)
-	f := follower.New(s.store(), "", func(p storer.Page) { seen <- p.Revision() }, zerolog.Nop(),
+	f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.Page) { seen <- stored.Revision() }, zerolog.Nop(),
 		follower.WithRelays(follower.NewRelays(wanted.Load, next, func() { failed.Store(true) }, time.Second)))
 	f.Start()
 	defer f.Close()
 	c.Assert(<-seen, qt.Equals, int64(100))
 	c.Assert(<-seen, qt.Equals, int64(200))
 }
+
+// A relay that has just come back from an outage may lack workers that return
+// soon, and must not bring back those that others know to be gone.
+func TestARelayThatRecovers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	tests := []struct {
+		name       string
+		recovering bool
+		want       []string // Usable once the relay's keys are known.
+	}{
+		{"the store has all", false, []string{"b"}},
+		{"some may return", true, []string{"a", "b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			first := true
+			relay := storer.NewRemote(
+				storer.WithRange(func(context.Context, string) (storer.Page, error) {
+					if first {
+						first = false
+						return storer.NewPage([]storer.Pair{pair("a", "v", 1)}, 1), nil
+					}
+					return storer.NewPage([]storer.Pair{pair("b", "v", 2)}, 2).Recovering(test.recovering), nil
+				}),
+				storer.WithPoll(func(ctx context.Context, _ string, after int64) (storer.Batch, error) {
+					if after == 1 {
+						return storer.Batch{}, storer.NewCompactedError(1)
+					}
+					return storer.Batch{}, untilDone(ctx)
+				}, 0))
+			var got []string
+			ready := make(chan struct{})
+			s := &script{}
+			f := follower.New(s.store(), "", func(usable []storer.Pair, stored storer.Page) {
+				if stored.Revision() < 2 {
+					return
+				}
+				for _, p := range usable {
+					got = append(got, p.Key())
+				}
+				c.Check(stored.Pairs(), qt.HasLen, 1)
+				close(ready)
+			}, zerolog.Nop(), follower.WithRelays(follower.NewRelays(func() bool { return true },
+				func() (storer.Store, bool) { return relay, true }, func() {}, time.Second)))
+			f.Start()
+			defer f.Close()
+			<-ready
+			c.Assert(got, qt.DeepEquals, test.want)
+			c.Assert(s.reads.Load(), qt.Equals, int64(0))
+		})
+	}
+}
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -97,10 +97,12 @@
 			return
 		}
 		err := f.follow(ctx, relay, true)
-		if err != nil && ctx.Err() == nil {
-			f.log.Info().Err(err).Msg("relay of the store's keys does not serve")
-			f.relays.failed()
+		var compacted *storer.CompactedError
+		if err == nil || ctx.Err() != nil || errors.As(err, &compacted) {
+			continue
 		}
+		f.log.Info().Err(err).Msg("relay of the store's keys does not serve")
+		f.relays.failed()
 	}
 }
 
--- a/relayer/copy.go
+++ b/relayer/copy.go
@@ -11,10 +11,12 @@
 type keysCopy struct {
 	cursor   int64 // Grows with every change.
 	revision int64 // The store's.
-	pairs    map[string]numbered
-	removed  []removal
-	floor    int64         // Removals up to this cursor are forgotten.
-	replaced chan struct{} // Closed when a later copy is there.
+	// recovering tells that keys which are not there may still return.
+	recovering bool
+	pairs      map[string]numbered
+	removed    []removal
+	floor      int64         // What changed up to this cursor cannot be told one by one.
+	replaced   chan struct{} // Closed when a later copy is there.
 }
 
 // numbered is a pair with the cursor at which it last changed.
@@ -36,7 +38,7 @@
 // next returns the copy that follows when the store's keys are those of the page.
 func (k *keysCopy) next(page storer.Page) *keysCopy {
 	n := &keysCopy{
-		cursor: k.cursor + 1, revision: page.Revision(), floor: k.floor,
+		cursor: k.cursor + 1, revision: page.Revision(), recovering: page.IsRecovering(), floor: k.floor,
 		pairs: make(map[string]numbered, len(page.Pairs())), replaced: make(chan struct{}),
 	}
 	for _, pair := range page.Pairs() {
@@ -53,6 +55,9 @@
 		}
 	}
 	n.forget()
+	if n.recovering && !k.recovering { // What has gone now may return: all is to be read anew.
+		n.floor = n.cursor
+	}
 	return n
 }
 
@@ -85,7 +90,7 @@
 
 // all returns every key.
 func (k *keysCopy) all(incarnation string) copyMessage {
-	m := copyMessage{Incarnation: incarnation, Cursor: k.cursor, Revision: k.revision, Pairs: make([]pairMessage, 0, len(k.pairs))}
+	m := copyMessage{Incarnation: incarnation, Cursor: k.cursor, Revision: k.revision, Recovering: k.recovering, Pairs: make([]pairMessage, 0, len(k.pairs))}
 	for _, n := range k.pairs {
 		m.Pairs = append(m.Pairs, newPairMessage(n.pair))
 	}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -22,6 +22,7 @@
 	Incarnation string        `json:"incarnation"`
 	Cursor      int64         `json:"cursor"`
 	Revision    int64         `json:"revision"`
+	Recovering  bool          `json:"recovering,omitempty"`
 	Pairs       []pairMessage `json:"pairs"`
 }
 
@@ -44,7 +45,7 @@
 	for _, p := range m.Pairs {
 		pairs = append(pairs, p.pair())
 	}
-	return storer.NewPage(pairs, m.Revision)
+	return storer.NewPage(pairs, m.Revision).Recovering(m.Recovering)
 }
 
 func (m changesMessage) batch() storer.Batch {
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -61,6 +61,30 @@
 	}
 }
 
+// Those that read from a relay which has just come back are told so once.
+func TestChangesAcrossAnOutage(t *testing.T) {
+	c := qt.New(t)
+	before := newKeysCopy().next(storer.NewPage(pairs(1, 2), 2))
+	back := before.next(storer.NewPage(pairs(1), 3).Recovering(true))
+	later := back.next(storer.NewPage(pairs(1, 4), 4).Recovering(true))
+	tests := []struct {
+		name   string
+		cursor int64
+		known  bool
+	}{
+		{"asked before the outage", before.cursor, false},
+		{"asked since", back.cursor, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, known := later.since(test.cursor)
+			qt.Assert(t, known, qt.Equals, test.known)
+		})
+	}
+	c.Assert(later.all("i").Recovering, qt.IsTrue)
+	c.Assert(later.all("i").page().IsRecovering(), qt.IsTrue)
+}
+
 // A relay that has forgotten removals says so, instead of leaving a key behind.
 func TestForgottenRemovalsAreNotHidden(t *testing.T) {
 	c := qt.New(t)
--- a/storer/store.go
+++ b/storer/store.go
@@ -70,10 +70,21 @@
 
 // Page is the answer to a range read: the pairs and the store's revision.
 type Page struct {
-	pairs    []Pair
-	revision int64
+	pairs      []Pair
+	revision   int64
+	recovering bool
+}
+
+// Recovering returns a copy of p of a store that has just come back: keys whose
+// leases lapsed meanwhile may still return.
+func (p Page) Recovering(recovering bool) Page {
+	p.recovering = recovering
+	return p
 }
 
+// IsRecovering tells whether keys that are not there may still return.
+func (p Page) IsRecovering() bool { return p.recovering }
+
 // Pairs returns the pairs in the order of their keys.
 func (p Page) Pairs() []Pair { return p.pairs }
 
