--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -100,7 +100,7 @@
 	if err := i.life.process.Stop(); err != nil {
 		f.c.Errorf("%s ended with %v", i.name, err)
 	}
-	if took := time.Since(start); *timing && took > grace {
+	if took := time.Since(start); timing && took > grace {
 		f.c.Errorf("%s took %s to stop", i.name, took)
 	}
 	f.start(i)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -1,14 +1,15 @@
 package soaker_test
 
 import (
+	"cmp"
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -19,13 +20,35 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var (
-	firstSeed = flag.Uint64("soak-seed", 1, "the first seed of a run by hand")
-	seedCount = flag.Uint64("soak-seeds", 0, "how many seeds to run by hand, in place of those of CI")
-	soakTime  = flag.Duration("soak-for", 10*time.Second, "how long each seed is run by hand")
-	timing    = flag.Bool("soak-timing", false, "check bounds of time too")
+// Variables of the environment for a run by hand, in place of the seeds of CI.
+const (
+	variableSeed   = "SOAK_SEED"   // The first seed.
+	variableSeeds  = "SOAK_SEEDS"  // How many seeds are run.
+	variableTime   = "SOAK_TIME"   // How long each is run.
+	variableTiming = "SOAK_TIMING" // Whether bounds of time are checked too.
 )
 
+// timing tells whether bounds of time are checked.
+var timing = os.Getenv(variableTiming) != ""
+
+// byHand returns the seeds and the length of a run by hand, and false if there is
+// to be none.
+func byHand(c *qt.C) (seeds []uint64, length time.Duration, ok bool) {
+	if os.Getenv(variableSeeds) == "" {
+		return nil, 0, false
+	}
+	count, err := strconv.ParseUint(os.Getenv(variableSeeds), 10, 64)
+	c.Assert(err, qt.IsNil)
+	first, err := strconv.ParseUint(cmp.Or(os.Getenv(variableSeed), "1"), 10, 64)
+	c.Assert(err, qt.IsNil)
+	length, err = time.ParseDuration(cmp.Or(os.Getenv(variableTime), "10s"))
+	c.Assert(err, qt.IsNil)
+	for n := range count {
+		seeds = append(seeds, first+n)
+	}
+	return seeds, length, true
+}
+
 // seedsOfCI are run in CI: some, and each that ever failed, with the cause.
 var seedsOfCI = []struct {
 	seed  uint64
@@ -45,11 +68,6 @@
 	calmTime = 6 * time.Second
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	os.Exit(m.Run())
-}
-
 func build(c *qt.C) string {
 	binary := filepath.Join(c.TempDir(), "instance")
 	out, err := exec.Command("go", "build", "-o", binary, "burdocklane/cmd/burdocklane-instance").CombinedOutput()
@@ -58,19 +76,20 @@
 }
 
 func TestSoak(t *testing.T) {
-	binary := build(qt.New(t)) // The directory is removed after the parallel runs.
-	if *seedCount == 0 {
-		for _, s := range seedsOfCI {
-			t.Run(fmt.Sprintf("seed-%d", s.seed), func(t *testing.T) {
-				t.Parallel()
-				soak(t, binary, s.seed, timeInCI)
-			})
-		}
+	c := qt.New(t)
+	binary := build(c) // The directory is removed after the parallel runs.
+	seeds, length, ok := byHand(c)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, binary, seed, length) })
+	}
+	if ok {
 		return
 	}
-	for n := range *seedCount {
-		seed := *firstSeed + n
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, binary, seed, *soakTime) })
+	for _, s := range seedsOfCI {
+		t.Run(fmt.Sprintf("seed-%d", s.seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, binary, s.seed, timeInCI)
+		})
 	}
 }
 
@@ -150,7 +169,7 @@
 	for _, m := range f.workers {
 		for _, r := range m.worker.Runs() {
 			runs[r.ID()] = append(runs[r.ID()], r)
-			if late := r.At().Sub(m.leftAt) - drainTime; *timing && !m.leftAt.IsZero() && late > time.Second {
+			if late := r.At().Sub(m.leftAt) - drainTime; timing && !m.leftAt.IsZero() && late > time.Second {
 				f.c.Errorf("%s ran at %s, %s too late", r.ID(), m.worker.ID(), late)
 			}
 		}
