--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -3,7 +3,7 @@
 package limiter
 
 import (
-	"fmt"
+	"strconv"
 	"time"
 
 	"burdocklane/picker"
@@ -223,14 +223,29 @@
 
 // String returns the counts in a fixed form for logs and explain.
 func (s Seen) String() string {
-	counts := fmt.Sprintf("total=%d usable=%d free=%d in-flight=%d queued=%d",
-		s.total, s.usable, s.free, s.inFlight, s.queued)
-	worker := fmt.Sprintf("%s expected=%s", s.chosen, s.expected.Round(time.Millisecond))
-	switch {
-	case s.expected == 0:
-		return counts
-	case s.total == 0: // Another instance has weighed the candidates.
-		return worker
+	const usualBytes = 160
+	b := make([]byte, 0, usualBytes)
+	if s.total != 0 || s.expected == 0 { // Else another instance has weighed the candidates.
+		b = s.appendCounts(b)
 	}
-	return counts + " " + worker
+	if s.expected == 0 {
+		return string(b)
+	}
+	if len(b) > 0 {
+		b = append(b, ' ')
+	}
+	b = s.chosen.AppendText(b)
+	b = append(b, " expected="...)
+	return string(append(b, s.expected.Round(time.Millisecond).String()...))
+}
+
+func (s Seen) appendCounts(b []byte) []byte {
+	counts := [...]struct {
+		name  string
+		count int32
+	}{{"total=", s.total}, {" usable=", s.usable}, {" free=", s.free}, {" in-flight=", s.inFlight}, {" queued=", s.queued}}
+	for _, c := range counts {
+		b = strconv.AppendInt(append(b, c.name...), int64(c.count), 10)
+	}
+	return b
 }
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -1,8 +1,8 @@
 package picker
 
 import (
-	"fmt"
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -79,10 +79,22 @@
 	return l
 }
 
-// String returns what is known, for logs.
-func (l Load) String() string {
-	return fmt.Sprintf("running=%d waiting=%d slots=%d pace=%.2f age=%s since=%d seen=%d",
-		l.running, l.waiting, l.slots, l.pace, min(l.age, longestAge).Round(time.Millisecond), l.since, l.seen)
+// AppendText appends what is known, for logs. It is written for each attempt, and
+// so without fmt.
+func (l Load) AppendText(b []byte) []byte {
+	b = appendCount(b, "running=", l.running)
+	b = appendCount(b, " waiting=", l.waiting)
+	b = appendCount(b, " slots=", l.slots)
+	b = append(b, " pace="...)
+	b = strconv.AppendFloat(b, l.pace, 'f', 2, 64)
+	b = append(b, " age="...)
+	b = append(b, min(l.age, longestAge).Round(time.Millisecond).String()...)
+	b = appendCount(b, " since=", l.since)
+	return appendCount(b, " seen=", l.seen)
+}
+
+func appendCount(b []byte, name string, count int32) []byte {
+	return strconv.AppendInt(append(b, name...), int64(count), 10)
 }
 
 // AtPace tells whether the worker is at its usual pace, by a report that has not
