--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -67,7 +67,11 @@
 		x := all[rng.IntN(len(all))]
 		length := shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
 		f.c.Logf("%s for %s", x.name, length.Round(time.Millisecond))
+		start := time.Now()
 		x.play(ctx, f, rng, length)
+		if !strings.HasPrefix(x.name, "worker-") {
+			f.noteTrouble(start, time.Now())
+		}
 		sleeper.Sleep(ctx, time.Duration(rng.Int64N(int64(gap))))
 	}
 }
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -43,6 +43,35 @@
 	instances []*instance
 	lives     []*life
 	version   int
+	// troubles are the times at which instances or their way to the store were
+	// disturbed.
+	troubles []trouble
+}
+
+type trouble struct {
+	from time.Time
+	to   time.Time
+}
+
+// contactTime is how long an instance has to be undisturbed for bounds of time to
+// hold.
+const contactTime = 3 * time.Second
+
+func (f *fleet) noteTrouble(from, to time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.troubles = append(f.troubles, trouble{from: from, to: to})
+}
+
+// wasCalm tells whether nothing disturbed instances or the store from a little
+// before one time until another.
+func (f *fleet) wasCalm(from, to time.Time) bool {
+	for _, t := range f.troubles {
+		if t.from.Before(to) && t.to.Add(contactTime).After(from) {
+			return false
+		}
+	}
+	return true
 }
 
 // member is a worker behind a proxy.
