--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"burdocklane/conductor"
+	"burdocklane/launcher"
 	adapter "burdocklane/platform"
 	"burdocklane/platform/imitator"
 
@@ -34,15 +35,9 @@
 func anyPort() int { return 10_000 + rand.IntN(20_000) }
 
 func freePort(c *qt.C) string {
-	for range 1000 {
-		socket, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", anyPort()))
-		if err == nil {
-			defer socket.Close()
-			return socket.Addr().String()
-		}
-	}
-	c.Fatal("no port is free")
-	return ""
+	addresses, err := launcher.FreePorts("127.0.0.1", 1)
+	c.Assert(err, qt.IsNil)
+	return addresses[0]
 }
 
 // freePair returns the first of two ports that are free for datagrams.
--- a/limiter/ask.go
+++ b/limiter/ask.go
@@ -3,12 +3,9 @@
 package limiter
 
 import (
-	"strconv"
 	"time"
 
-	"burdocklane/picker"
 	"burdocklane/registrar"
-	"burdocklane/tracker"
 )
 
 // Reason says why a call was refused. In every case it has not run.
@@ -140,112 +137,3 @@
 	}
 	return false
 }
-
-// Admission is the answer to an Ask: Granted or Refused.
-type Admission interface{ admission() }
-
-// Granted is the right to send one call to a worker. Release gives it back.
-type Granted struct {
-	pool   *Pool
-	worker *tracker.Worker
-	loan   *Loan
-	target time.Duration
-	waited time.Duration
-	seen   Seen
-	// overflow marks a slot beyond the instance's own.
-	overflow bool
-	// onBehalf marks a slot that a call of another instance uses.
-	onBehalf bool
-	assigned *assignment
-}
-
-// Refused says why no slot was granted.
-type Refused struct {
-	reason Reason
-	waited time.Duration
-	seen   Seen
-}
-
-func (Granted) admission() {}
-func (Refused) admission() {}
-
-// Worker returns the worker to send to.
-func (g Granted) Worker() *tracker.Worker { return g.worker }
-
-// Waited returns how long the call waited for the slot.
-func (g Granted) Waited() time.Duration { return g.waited }
-
-// Borrowed tells whether a peer lent the slot.
-func (g Granted) Borrowed() bool { return g.loan != nil }
-
-// Overflowed tells whether the slot is beyond the instance's own.
-func (g Granted) Overflowed() bool { return g.overflow }
-
-// Assigned tells whether another instance decided.
-func (g Granted) Assigned() bool { return g.assigned != nil }
-
-// Seen returns what the decision was made from.
-func (g Granted) Seen() Seen { return g.seen }
-
-// Release gives the slot back; it must be called once.
-func (g Granted) Release() {
-	if g.onBehalf {
-		g.worker.AddLent(-1)
-	}
-	g.pool.release(g.worker, g.loan)
-	if g.assigned != nil {
-		g.assigned.done(Finding(g.assigned.finding.Load()))
-	}
-}
-
-// Reason says why the call was refused.
-func (r Refused) Reason() Reason { return r.reason }
-
-// Waited returns how long the call waited before it was refused.
-func (r Refused) Waited() time.Duration { return r.waited }
-
-// Seen returns what the decision was made from.
-func (r Refused) Seen() Seen { return r.seen }
-
-// Seen sums up the candidates of a decision, for the decision log.
-type Seen struct {
-	total    int32
-	usable   int32
-	free     int32
-	queued   int32
-	inFlight int32
-	chosen   picker.Load // What was known of the chosen worker, if it reports.
-	expected time.Duration
-}
-
-// Expected returns the time that the call was expected to take, or 0.
-func (s Seen) Expected() time.Duration { return s.expected }
-
-// String returns the counts in a fixed form for logs and explain.
-func (s Seen) String() string {
-	const usualBytes = 160
-	b := make([]byte, 0, usualBytes)
-	if s.total != 0 || s.expected == 0 { // Else another instance has weighed the candidates.
-		b = s.appendCounts(b)
-	}
-	if s.expected == 0 {
-		return string(b)
-	}
-	if len(b) > 0 {
-		b = append(b, ' ')
-	}
-	b = s.chosen.AppendText(b)
-	b = append(b, " expected="...)
-	return string(append(b, s.expected.Round(time.Millisecond).String()...))
-}
-
-func (s Seen) appendCounts(b []byte) []byte {
-	counts := [...]struct {
-		name  string
-		count int32
-	}{{"total=", s.total}, {" usable=", s.usable}, {" free=", s.free}, {" in-flight=", s.inFlight}, {" queued=", s.queued}}
-	for _, c := range counts {
-		b = strconv.AppendInt(append(b, c.name...), int64(c.count), 10)
-	}
-	return b
-}
--- a/limiter/seen_test.go
+++ b/limiter/seen_test.go
@@ -19,7 +19,8 @@
 		{"nothing chosen", Seen{total: 5, usable: 4, free: 3, inFlight: 2, queued: 1}, "total=5 usable=4 free=3 in-flight=2 queued=1"},
 		{"nothing known", Seen{}, "total=0 usable=0 free=0 in-flight=0 queued=0"},
 		{
-			"chosen here", Seen{total: 1, usable: 1, free: 1, chosen: load, expected: 97200 * time.Microsecond},
+			"chosen here",
+			Seen{total: 1, usable: 1, free: 1, chosen: load, expected: 97200 * time.Microsecond},
 			"total=1 usable=1 free=1 in-flight=0 queued=0 running=2 waiting=1 slots=6 pace=1.00 age=16ms since=3 seen=4 expected=97ms",
 		},
 		{"chosen by another instance", Seen{chosen: load, expected: time.Second}, "running=2 waiting=1 slots=6 pace=1.00 age=16ms since=3 seen=4 expected=1s"},
