Keep calls in their zone where targets are long

Cause: on the grown sites a worker of another zone was chosen for the tenth by which expectations are varied: 15 ms of toll against 20 to 40 ms.

Change: the toll of another zone is at least 8 in 100 of the time until the answer is late.

--- a/picker/reported.go
+++ b/picker/reported.go
@@ -13,6 +13,9 @@
 	// region has to save to be worth the way there and the traffic.
 	zoneToll   = 15 * time.Millisecond
 	regionToll = 120 * time.Millisecond
+	// zoneShare of the time until an answer is late is the toll of another zone
+	// where that is more: an answer on time is worth no more for being earlier.
+	zoneShare = 0.08
 	// queueShare is the part of the time left that a call may be expected to take
 	// where it has to wait for its turn.
 	queueShare = 0.8
@@ -41,15 +44,15 @@
 	return ReportedLoad{onTime: onTime, most: most}
 }
 
-// toll is the worth, as time, of the traffic to the worker's place.
-func (c *Candidate) toll() int64 {
-	switch c.distance {
+// toll is the worth, as time, of the traffic to a place at the distance.
+func (p ReportedLoad) toll(distance uint8) int64 {
+	switch distance {
 	case 0:
 		return 0
 	case farDistance:
 		return int64(regionToll)
 	}
-	return int64(zoneToll)
+	return int64(max(zoneToll, time.Duration(zoneShare*float64(p.onTime))))
 }
 
 // Urgent returns p for a call that has waited for room long enough.
@@ -91,7 +94,7 @@
 		if !c.crowded && c.latency <= int64(p.most) {
 			withRoom++
 		}
-		score := c.reportedScore(rng)
+		score := c.reportedScore(rng) + p.toll(c.distance)
 		switch onTime := c.latency <= int64(p.onTime); {
 		case c.latency > int64(p.most):
 		case onTime && !c.crowded:
@@ -120,12 +123,13 @@
 	return d
 }
 
-// reportedScore is the expected latency, varied and with the tolls.
+// reportedScore is the expected latency, varied, with a toll for what speaks
+// against the worker.
 func (c *Candidate) reportedScore(rng *rand.Rand) int64 {
 	varied := float64(c.latency) * (1 + spread*rng.Float64())
 	if c.state == Suspect {
 		varied += float64(suspectToll)
 	}
 	varied += float64(c.declines) * float64(suspectToll)
-	return int64(varied) + c.toll()
+	return int64(varied)
 }
--- a/picker/reported_test.go
+++ b/picker/reported_test.go
@@ -173,3 +173,32 @@
 		})
 	}
 }
+
+// Where targets are long, calls leave their zone for a worker that is much faster,
+// and not for the little by which expectations vary.
+func TestCallsStayInTheirZone(t *testing.T) {
+	tests := []struct {
+		name   string
+		onTime time.Duration
+		own    worker
+		other  worker
+		stays  bool
+	}{
+		{"equally fast", 10 * goal, worker{pace: 1}, worker{pace: 1, distance: 1}, true},
+		{"a little slower", 10 * goal, worker{pace: 1.4}, worker{pace: 1, distance: 1}, true},
+		{"a slow spell", 10 * goal, worker{pace: 7}, worker{pace: 1, distance: 1}, false},
+		{"a little slower, a short target", goal, worker{pace: 1.4}, worker{pace: 1, distance: 1}, false},
+		{"no room", 10 * goal, worker{running: 3, pace: 1}, worker{pace: 1, distance: 1}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			all := candidates([]worker{test.own, test.other})
+			for seed := range uint64(50) {
+				d := picker.Pick(picker.NewReportedLoad(test.onTime, most+test.onTime), all, rand.New(rand.NewPCG(seed, 1)))
+				send, ok := d.(picker.Send)
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Assert(t, send.Index() == 0, qt.Equals, test.stays)
+			}
+		})
+	}
+}
