--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -28,8 +28,8 @@
 	drainTime   = 2 * time.Second
 )
 
-// zones are those of the instances: one of the three of a has the store's keys for
-// the others.
+// zones are those of the instances, in turn: one of those of a has the store's keys
+// for the others.
 var zones = []string{"a", "a", "a", "b"}
 
 // fleet is everything that a run has started.
@@ -137,8 +137,8 @@
 	for n := range workerCount {
 		f.addWorker(fmt.Sprintf("worker-%d", n))
 	}
-	for n, zone := range zones {
-		f.addInstance(fmt.Sprintf("edge-%d", n), zone)
+	for n := range instances(c) {
+		f.addInstance(fmt.Sprintf("edge-%d", n), zones[n%len(zones)])
 	}
 	return f
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -26,8 +26,16 @@
 	variableSeeds  = "SOAK_SEEDS"  // How many seeds are run.
 	variableTime   = "SOAK_TIME"   // How long each is run.
 	variableTiming = "SOAK_TIMING" // Whether bounds of time are checked too.
+	variableFleet  = "SOAK_FLEET"  // How many instances there are; four if it is not set.
 )
 
+// instances returns how many instances a run has.
+func instances(c *qt.C) int {
+	count, err := strconv.Atoi(cmp.Or(os.Getenv(variableFleet), strconv.Itoa(len(zones))))
+	c.Assert(err, qt.IsNil)
+	return count
+}
+
 // timing tells whether bounds of time are checked.
 var timing = os.Getenv(variableTiming) != ""
 
