--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -13,13 +13,13 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/storer"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	"github.com/rs/zerolog"
-
-	"burdocklane/storer"
 )
 
 const (
@@ -53,7 +53,7 @@
 	incarnation string
 	follows     func() bool // Whether this instance follows the store itself.
 	serving     atomic.Bool
-	copy        atomic.Pointer[keysCopy]
+	keys        atomic.Pointer[keysCopy]
 	address     string
 	server      *http.Server
 	ctx         context.Context
@@ -70,7 +70,7 @@
 	}
 	r := &Relay{incarnation: uuid.NewString(), follows: follows, address: socket.Addr().String()}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	r.copy.Store(newKeysCopy())
+	r.keys.Store(newKeysCopy())
 	router := mux.NewRouter()
 	router.HandleFunc(pathKeys, r.answerKeys).Methods(http.MethodGet)
 	router.HandleFunc(pathChanges, r.answerChanges).Methods(http.MethodGet)
@@ -96,8 +96,8 @@
 // Show takes over the store's keys. It must not be called from two goroutines
 // at once.
 func (r *Relay) Show(page storer.Page) {
-	old := r.copy.Load()
-	r.copy.Store(old.next(page))
+	old := r.keys.Load()
+	r.keys.Store(old.next(page))
 	r.serving.Store(true)
 	close(old.replaced)
 }
@@ -154,7 +154,7 @@
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	for {
-		current := r.copy.Load()
+		current := r.keys.Load()
 		if enough(current) {
 			return current
 		}
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -265,7 +265,7 @@
 func TestARelayAnswersWhileNothingChanges(t *testing.T) {
 	c := qt.New(t)
 	r := &Relay{incarnation: "i", follows: func() bool { return true }, ctx: context.Background()}
-	r.copy.Store(newKeysCopy())
+	r.keys.Store(newKeysCopy())
 	r.Show(storer.NewPage(pairs(1), 1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
