Keep a tricky worker's connection open in its test

The scripted worker closes its connection after every reply that has an old answer in it, which is meant for the last row only; whether the close is seen before the next request is written is a race, and a request written to a connection that then ends is rightly lost.

Change: only a reply that ends with the old answer closes the connection; the third request now has to be answered on the connection that had the extra answer. The check is the same, on a worker that does what the row says.

--- a/sender/trick_test.go
+++ b/sender/trick_test.go
@@ -110,7 +110,7 @@
 				for nth := 1; ok; nth++ {
 					reply := test.reply(r.Header.Get("X-Request-Id"), nth)
 					io.WriteString(conn, reply)
-					if !strings.Contains(reply, "Content-Length") || strings.HasSuffix(reply, "ne") || strings.Contains(reply, "\r\nold") {
+					if !strings.Contains(reply, "Content-Length") || strings.HasSuffix(reply, "ne") || strings.HasSuffix(reply, "\r\nold") {
 						return
 					}
 					r, ok = read(reader)
