--- a/tracker/report.go
+++ b/tracker/report.go
@@ -49,9 +49,6 @@
 // Pace returns the time for a call in proportion to the usual.
 func (r Report) Pace() float64 { return r.pace }
 
-// Slow tells whether the worker was too slow to wait for.
-func (r Report) Slow() bool { return r.pace >= picker.SlowPace }
-
 // Reported takes over a report unless a later one is known, and returns
 // whether it was taken.
 func (w *Worker) Reported(r Report) bool {
