--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -188,35 +188,6 @@
 	return limiter.Undecided{}
 }
 
-// applyKeys applies the configuration and the list of the fleet from the keys of
-// the store.
-func (p *Process) applyKeys(usable []storer.Pair, stored storer.RangeResult) {
-	list, changed := p.directory.Parse(usable)
-	p.registration.Observe(usable)
-	p.updateRelay(list, stored)
-	if changed != nil {
-		if err := p.publisher.PublishDeployment(*changed, "store"); err != nil {
-			p.log.Warn().Err(err).Msg("an older configuration was ignored")
-		} else {
-			p.log.Info().Int64("revision", int64(changed.Revision())).Msg("configuration is in force")
-		}
-	}
-	p.publisher.PublishList(list)
-	if !p.hasList.Swap(true) {
-		p.log.Info().Int("workers", len(list.Workers())).Int("instances", len(list.Instances())).Msg("received the first list of the fleet")
-	}
-}
-
-// updateRelay serves the stored keys to peers if this instance is a relay, and
-// stops serving them otherwise.
-func (p *Process) updateRelay(list registrar.List, stored storer.RangeResult) {
-	if !p.selector.UpdateInstances(list.Instances()) {
-		p.relay.Suspend()
-		return
-	}
-	p.relay.Publish(stored)
-}
-
 // serve starts the listener for callers and the server for readiness checks and
 // metrics.
 func (p *Process) serve() error {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -56,11 +56,13 @@
 	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
 	direct        atomic.Bool   // The keys are read from the store itself, not from a relay.
+	source        atomic.Value  // The name of the store or relay that the keys were last read from.
 	wake          chan struct{} // Signals that a peer reaches the store.
 
 	// Used only by the run goroutine.
-	replica *Replica
-	wokenAt time.Time
+	replica     *Replica
+	wokenAt     time.Time
+	lastFailure string // The reason of the last failure that was logged.
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -103,6 +105,12 @@
 // Revision returns the store's revision that the replica has reached.
 func (f *Follower) Revision() int64 { return f.knownRevision.Load() }
 
+// Source returns the name of the store or relay that the keys were last read from.
+func (f *Follower) Source() string {
+	source, _ := f.source.Load().(string)
+	return source
+}
+
 // FollowsStore reports whether this instance reads from the store itself and the
 // store is reachable. A short interruption of the watch does not make it
 // unreachable.
@@ -200,6 +208,8 @@
 func (f *Follower) shouldRetryNow(err error) bool {
 	var compacted *storer.CompactedError
 	var stalled *StalledWatchError
+	reason := failureReason(err)
+	countFailure(reason)
 	switch {
 	case errors.As(err, &stalled):
 		return true
@@ -207,10 +217,13 @@
 		f.log.Info().Err(err).Msg("store has compacted its history; reading the keys again")
 		return true
 	case f.lostAt.CompareAndSwap(0, int64(f.now())):
-		f.log.Warn().Err(err).Msg("lost the store")
+		f.log.Warn().Err(err).Str("reason", reason).Msg("lost the store")
+	case reason != f.lastFailure:
+		f.log.Warn().Err(err).Str("reason", reason).Msg("the store is still lost, for another reason")
 	default:
 		f.log.Debug().Err(err).Msg("store is not reachable")
 	}
+	f.lastFailure = reason
 	return false
 }
 
@@ -225,11 +238,12 @@
 	if have := f.knownRevision.Load(); result.Revision() < have {
 		return &StaleReadError{have: have, read: result.Revision()}
 	}
-	f.recordRead()
+	f.recordRead(storer.Name(store))
 	if result.IsRecovering() {
 		f.replica.RetainUntil(time.Now().Add(missingKeyGrace))
 	}
 	f.direct.Store(!relayed)
+	f.source.Store(storer.Name(store))
 	f.knownRevision.Store(result.Revision())
 	f.replica.Replace(result.Pairs())
 	f.publish()
@@ -266,16 +280,16 @@
 	return nil
 }
 
-// recordRead records that the keys could be read. After an outage, missing keys
-// are retained for a grace period.
-func (f *Follower) recordRead() {
+// recordRead records that the keys could be read from a source. After an outage,
+// missing keys are retained for a grace period.
+func (f *Follower) recordRead(source string) {
 	f.lastContact.Store(int64(f.now()))
 	lostAt := f.lostAt.Swap(0)
 	if lostAt == 0 {
 		return
 	}
 	outage := f.now() - time.Duration(lostAt)
-	f.log.Info().Dur("outage", outage).Msg("regained the store")
+	f.log.Info().Dur("outage", outage).Str("source", source).Msg("regained the store")
 	if outage >= minOutage {
 		f.replica.RetainUntil(time.Now().Add(missingKeyGrace))
 	}
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -35,7 +35,7 @@
 // concurrently.
 func newSource(client *http.Client, address string, knownRevision func() int64) *storer.Remote {
 	s := &source{base: "http://" + address, client: client, knownRevision: knownRevision}
-	return storer.NewRemote(storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
+	return storer.NewRemote(storer.WithName("relay "+address), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
 }
 
 func (s *source) readRange(ctx context.Context, _ string) (storer.RangeResult, error) {
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -10,6 +10,7 @@
 // Remote is a store that is accessed by functions, which implement a protocol other
 // than etcd's.
 type Remote struct {
+	name       string
 	readRange  func(ctx context.Context, prefix string) (RangeResult, error)
 	poll       func(ctx context.Context, prefix string, after int64) (Batch, error)
 	batchDelay time.Duration
@@ -22,6 +23,9 @@
 // RemoteOption sets one operation of a Remote.
 type RemoteOption func(*Remote)
 
+// WithName sets the name of the store in logs.
+func WithName(name string) RemoteOption { return func(r *Remote) { r.name = name } }
+
 // WithRange sets the function that reads all keys with a prefix.
 func WithRange(read func(ctx context.Context, prefix string) (RangeResult, error)) RemoteOption {
 	return func(r *Remote) { r.readRange = read }
--- a/storer/store.go
+++ b/storer/store.go
@@ -195,6 +195,17 @@
 	return fmt.Sprintf("store: history is compacted up to revision %d", e.revision)
 }
 
+// Name returns the name of a store in logs.
+func Name(s Store) string {
+	if remote, ok := s.(*Remote); ok && remote.name != "" {
+		return remote.name
+	}
+	return defaultName
+}
+
+// defaultName is the name of a store that has none of its own.
+const defaultName = "store"
+
 var errUnknownStoreType = errors.New("store: unknown store type")
 
 // Range reads all keys with the prefix in one call.
