Follow a peer while the store refuses an instance and its whole zone

Cause: an instance reads from the relays of its zone and from the store. If both refuse, it keeps what it knows. That a peer knows a later revision, which reaches it by datagram, only made it ask the store again.

TestRefusedZoneFollowsConfiguration failed before in its four cases: '/b/1: status 404 after 2s'; it passes now, as do the new tests of follower and relayer.

--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -60,20 +60,27 @@
 }
 
 func newEnvironment(c *qt.C) *environment {
-	e := &environment{c: c, store: imitator.NewStore(), callers: freePort(c), ready: freePort(c)}
-	c.Cleanup(e.store.Close)
+	store := imitator.NewStore()
+	c.Cleanup(store.Close)
+	return startInstance(c, store, "edge-1", "z", store.Address())
+}
+
+// startInstance starts an instance that reaches the store at an address.
+func startInstance(c *qt.C, store *imitator.Store, name, zone, storeAddress string) *environment {
+	e := &environment{c: c, store: store, callers: freePort(c), ready: freePort(c)}
 	port := freePair(c)
-	settings, err := adapter.ParseSettings(fmt.Appendf(nil, `NodeName=edge-1
+	settings, err := adapter.ParseSettings(fmt.Appendf(nil, `NodeName=%s
 Ip=127.0.0.1
-Zone=z
+Zone=%s
 Region=r
 Zones.z=r
+Zones.y=r
 Listen.Front=%s
 Listen.Ready=%s
 InternalPorts=%d,%d
 Bounds=DrainMs=600,ConfigApplyMs=600,GraceS=6
 Platform.Address=%s
-`, e.callers, e.ready, port, port+1, e.store.Address()))
+`, name, zone, e.callers, e.ready, port, port+1, storeAddress))
 	c.Assert(err, qt.IsNil)
 	e.instance, err = bootstrapper.New(settings, io.Discard)
 	c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/bootstrapper/store_faults_test.go
@@ -0,0 +1,105 @@
+package bootstrapper_test
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdocklane/platform/imitator"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+const (
+	// contactTime is how long after the end of a fault of the store the platform
+	// counts an instance as in touch again.
+	contactTime = 3 * time.Second
+	// applyTime is the time within which a confirmed configuration has to be active.
+	applyTime = 2 * time.Second
+	// registrationTime is more than the instances need to register each other; then
+	// their polls of the store wait for a change.
+	registrationTime = time.Second
+)
+
+// verifyNoLeaks fails the test if goroutines are left over after it and its subtests.
+func verifyNoLeaks(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+}
+
+// startZones starts two instances in different availability zones, each with an
+// address of the store of its own, a worker and a configuration with the prefix /a/.
+func startZones(c *qt.C) (store *imitator.Store, instances [2]*environment, entrances [2]*imitator.Entrance) {
+	store = imitator.NewStore()
+	c.Cleanup(store.Close)
+	var requests atomic.Int64
+	worker := (&environment{c: c}).startWorker("one", &requests)
+	store.Put("servers/one", worker("ready"))
+	store.Put("op/config", configuration(1, "/a/"))
+	for n, zone := range []string{"z", "y"} {
+		entrances[n] = store.NewEntrance()
+		instances[n] = startInstance(c, store, "edge-"+zone, zone, entrances[n].Address())
+	}
+	c.Cleanup(func() {
+		var closing sync.WaitGroup
+		for _, i := range instances {
+			closing.Go(func() { c.Check(i.instance.Close(), qt.IsNil) })
+		}
+		closing.Wait()
+	})
+	for _, i := range instances {
+		i.awaitStatus("/a/1", http.StatusOK)
+	}
+	time.Sleep(registrationTime)
+	return store, instances, entrances
+}
+
+// assertServed fails unless the path is served within the timeout.
+func (e *environment) assertServed(path string, timeout time.Duration) {
+	for deadline := time.Now().Add(timeout); ; time.Sleep(10 * time.Millisecond) {
+		status, _ := e.call(path)
+		if status == http.StatusOK {
+			return
+		}
+		if time.Now().After(deadline) {
+			e.c.Fatalf("%s: status %d after %s", path, status, timeout)
+		}
+	}
+}
+
+// Guards against an instance that keeps an old configuration while the store refuses
+// its whole zone and serves other instances, which have the new one.
+func TestRefusedZoneFollowsConfiguration(t *testing.T) {
+	verifyNoLeaks(t)
+	tests := []struct {
+		name    string
+		refusal imitator.Refusal
+	}{
+		{"busy", imitator.NewStatusRefusal(http.StatusServiceUnavailable)},
+		{"too many requests", imitator.NewStatusRefusal(http.StatusTooManyRequests)},
+		{"reset", imitator.ResetRefusal{}},
+		{"no response", imitator.SilentRefusal{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store, instances, entrances := startZones(c)
+			entrances[1].SetRefusal(test.refusal)
+			entrances[1].SilenceWatches()
+			time.Sleep(contactTime)
+			store.Put("op/config", configuration(2, "/b/"))
+			for _, i := range instances {
+				i.assertServed("/b/1", applyTime)
+			}
+			entrances[1].SetRefusal(imitator.NoRefusal{})
+			store.Put("op/config", configuration(3, "/c/"))
+			for _, i := range instances {
+				i.assertServed("/c/1", applyTime)
+			}
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -53,6 +53,7 @@
 	log           zerolog.Logger
 	lastContact   atomic.Int64
 	knownRevision atomic.Int64 // The store's revision that the replica has reached.
+	peerRevision  atomic.Int64 // The latest revision that a peer has reported.
 	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
 	direct        atomic.Bool   // The keys are read from the store itself, not from a relay.
@@ -130,6 +131,7 @@
 	if revision <= f.knownRevision.Load() {
 		return
 	}
+	f.peerRevision.Store(revision)
 	w := f.activeWatch.Load()
 	if w == nil {
 		select {
@@ -163,7 +165,9 @@
 			continue
 		}
 		failures++
-		f.backOff(ctx, sleeper.Backoff(baseBackoff, f.backoffLimit(), failures))
+		if !f.followFallback(ctx) {
+			f.backOff(ctx, sleeper.Backoff(baseBackoff, f.backoffLimit(), failures))
+		}
 	}
 }
 
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -26,6 +26,7 @@
 type Relays struct {
 	enabled        func() bool
 	next           func() (storer.Store, bool)
+	nextFallback   func() (storer.Store, bool)
 	reportFailure  func()
 	catchUpTimeout time.Duration
 }
@@ -35,14 +36,24 @@
 // did not serve. A watch, of a relay or of the store, may take catchUpTimeout to
 // deliver a revision that other peers know.
 func NewRelays(enabled func() bool, next func() (storer.Store, bool), reportFailure func(), catchUpTimeout time.Duration) Relays {
-	return Relays{enabled: enabled, next: next, reportFailure: reportFailure, catchUpTimeout: catchUpTimeout}
+	return Relays{enabled: enabled, next: next, nextFallback: noRelay, reportFailure: reportFailure, catchUpTimeout: catchUpTimeout}
 }
 
+// WithFallback returns a copy of r with a function that returns a peer to read from
+// while the store does not serve this instance.
+func (r Relays) WithFallback(next func() (storer.Store, bool)) Relays {
+	r.nextFallback = next
+	return r
+}
+
+func noRelay() (storer.Store, bool) { return nil, false }
+
 // NoRelays returns relays that are never available.
 func NoRelays() Relays {
 	return Relays{
 		enabled:       func() bool { return false },
-		next:          func() (storer.Store, bool) { return nil, false },
+		next:          noRelay,
+		nextFallback:  noRelay,
 		reportFailure: func() {},
 	}
 }
--- a/registrar/coordinators.go
+++ b/registrar/coordinators.go
@@ -29,6 +29,30 @@
 	return coordinators
 }
 
+// CoordinatorsByDistance returns the coordinators of all availability zones but self,
+// the nearest ones first. Instances at the same locality get different orders among
+// equally distant ones, so that they do not all turn to the same coordinator.
+func CoordinatorsByDistance(instances []Instance, self Instance) []Instance {
+	zones := map[Locality][]Instance{}
+	for _, i := range instances {
+		if !i.Leaving() {
+			zones[i.Locality()] = append(zones[i.Locality()], i)
+		}
+	}
+	var coordinators []Instance
+	for _, members := range zones {
+		coordinators = append(coordinators, topRanked(members)...)
+	}
+	coordinators = slices.DeleteFunc(coordinators, func(i Instance) bool { return i.ID() == self.ID() })
+	score := func(i Instance) uint32 { return Hash(string(self.ID()) + "/" + string(i.ID())) }
+	slices.SortFunc(coordinators, func(a, b Instance) int {
+		return cmp.Or(
+			cmp.Compare(self.Locality().Distance(a.Locality()), self.Locality().Distance(b.Locality())),
+			cmp.Compare(score(a), score(b)))
+	})
+	return coordinators
+}
+
 // CoordinatorsOfZone returns the coordinators in an availability zone in order of rank.
 func CoordinatorsOfZone(instances []Instance, locality Locality) []Instance {
 	var members []Instance
--- /dev/null
+++ b/relayer/fallback_test.go
@@ -0,0 +1,47 @@
+package relayer
+
+import (
+	"testing"
+
+	"burdocklane/registrar"
+	"burdocklane/storer"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against an instance that, with its whole zone refused by the store, finds no
+// peer to read from, or always returns to one that failed.
+func TestFallbackSelection(t *testing.T) {
+	in := func(id, region, zone string) registrar.Instance {
+		return registrar.NewInstance(registrar.InstanceID(id), id+":1", "", registrar.NewLocality(region, zone), false)
+	}
+	self := in("self", "r", "z")
+	tests := []struct {
+		name      string
+		instances []registrar.Instance
+		want      []string // In the order of the tries, each of which fails.
+	}{
+		{"no peers", []registrar.Instance{self}, nil},
+		{"another region", []registrar.Instance{self, in("a", "q", "x")}, []string{"relay a:1"}},
+		{"the nearest first", []registrar.Instance{in("far", "q", "x"), in("near", "r", "y"), self, in("same", "r", "z")}, []string{"relay same:1", "relay near:1", "relay far:1"}},
+		{"not a leaving one", []registrar.Instance{self, in("a", "r", "y").AsLeaving(), in("b", "r", "x")}, []string{"relay b:1"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			selector := NewSelector(self, func() int64 { return 0 }, func() []registrar.Instance { return nil })
+			defer selector.Close()
+			selector.UpdateInstances(test.instances)
+			var got []string
+			for {
+				peer, ok := selector.NextFallback()
+				if !ok {
+					break
+				}
+				got = append(got, storer.Name(peer))
+				selector.ReportFailure()
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/relayer/selector.go
+++ b/relayer/selector.go
@@ -25,6 +25,7 @@
 	lastSelected  atomic.Value                         // The registrar.InstanceID of the relay that Next returned last.
 	cooldowns     sync.Map                             // From an instance's ID to the time until which it is not selected.
 	live          func() []registrar.Instance          // The live coordinators.
+	instances     atomic.Pointer[[]registrar.Instance] // All instances.
 }
 
 // NewSelector returns a selector for the instance self: knownRevision returns the
@@ -33,6 +34,7 @@
 func NewSelector(self registrar.Instance, knownRevision func() int64, live func() []registrar.Instance) *Selector {
 	s := &Selector{self: self, knownRevision: knownRevision, live: live, client: newClient()}
 	s.relays.Store(&[]registrar.Instance{})
+	s.instances.Store(&[]registrar.Instance{})
 	return s
 }
 
@@ -49,6 +51,7 @@
 		relays = relays[:rank]
 	}
 	s.relays.Store(&relays)
+	s.instances.Store(&instances)
 	return rank >= 0
 }
 
@@ -61,13 +64,28 @@
 	for _, relay := range *s.relays.Load() {
 		isLive := slices.ContainsFunc(liveInstances, func(i registrar.Instance) bool { return i.ID() == relay.ID() })
 		if isLive && !s.isCoolingDown(relay.ID()) {
-			s.lastSelected.Store(relay.ID())
-			return newSource(s.client, relay.PeerAddress(), s.knownRevision), true
+			return s.selectRelay(relay), true
 		}
 	}
 	return nil, false
 }
 
+// NextFallback returns the nearest coordinator of any zone that is not cooling down
+// after a failure, for an instance that neither its relays nor the store serve.
+func (s *Selector) NextFallback() (storer.Store, bool) {
+	for _, relay := range registrar.CoordinatorsByDistance(*s.instances.Load(), s.self) {
+		if !s.isCoolingDown(relay.ID()) {
+			return s.selectRelay(relay), true
+		}
+	}
+	return nil, false
+}
+
+func (s *Selector) selectRelay(relay registrar.Instance) storer.Store {
+	s.lastSelected.Store(relay.ID())
+	return newSource(s.client, relay.PeerAddress(), s.knownRevision)
+}
+
 // ReportFailure records that the last relay did not serve: it is not selected for
 // failedRelayCooldown.
 func (s *Selector) ReportFailure() {
