Probe the store during a watch, so that a silent one is noticed

Cause: a poll that is begun while the store is silent never gets an answer, also after the store has returned. It was taken for a watch without changes until its 20 s were over. All relays poll again at the same pause after the same change, so that all of them hang at once, and no peer can tell them of a later revision. The relays kept serving. The same with a store that is silent to the relays only.

Ruled out: the store's refusals (503, resets: an error at once), a slow store, polls begun before the silence (answered after it).

A failed probe ends the watch, and the outage counts from the last contact, so that the instance stops serving as a relay and retains missing keys; a later revision than the watch's marks it as stalled.

The tests failed before: TestSilentWatchesOfAllInstancesAreNoticed '/b/1: status 404 after 3s', TestPollBegunInASilenceIsNoticed '/c/1: status 404 after 2s'.

--- a/bootstrapper/store_faults_test.go
+++ b/bootstrapper/store_faults_test.go
@@ -103,3 +103,37 @@
 		})
 	}
 }
+
+// Guards against a configuration that no instance applies for as long as a poll may
+// take, since the polls of all instances got no answer and none knows of the change.
+func TestSilentWatchesOfAllInstancesAreNoticed(t *testing.T) {
+	verifyNoLeaks(t)
+	c := qt.New(t)
+	store, instances, _ := startZones(c)
+	store.SilenceWatches()
+	store.Put("op/config", configuration(2, "/b/"))
+	for _, i := range instances {
+		i.assertServed("/b/1", contactTime)
+	}
+}
+
+// Guards against a poll that is begun while the store is silent for a moment, and
+// that is taken for a live one after the store has returned.
+func TestPollBegunInASilenceIsNoticed(t *testing.T) {
+	verifyNoLeaks(t)
+	c := qt.New(t)
+	store, instances, entrances := startZones(c)
+	for _, e := range entrances {
+		e.SetRefusal(imitator.SilentRefusal{})
+	}
+	store.Put("op/config", configuration(2, "/b/")) // Ends the polls that wait; the next ones get no answer.
+	time.Sleep(time.Second)
+	for _, e := range entrances {
+		e.SetRefusal(imitator.NoRefusal{})
+	}
+	time.Sleep(contactTime)
+	store.Put("op/config", configuration(3, "/c/"))
+	for _, i := range instances {
+		i.assertServed("/c/1", applyTime)
+	}
+}
--- a/follower/failure.go
+++ b/follower/failure.go
@@ -15,7 +15,10 @@
 	var stalled *StalledWatchError
 	var compacted *storer.CompactedError
 	var status *storer.StatusError
+	var probe *ProbeError
 	switch {
+	case errors.As(err, &probe):
+		return "probe-failed"
 	case errors.As(err, &stale):
 		return "stale-read"
 	case errors.As(err, &stalled):
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -220,7 +220,7 @@
 	case errors.As(err, &compacted):
 		f.log.Info().Err(err).Msg("store has compacted its history; reading the keys again")
 		return true
-	case f.lostAt.CompareAndSwap(0, int64(f.now())):
+	case f.lostAt.CompareAndSwap(0, int64(f.lossTime(err))):
 		f.log.Warn().Err(err).Str("reason", reason).Msg("lost the store")
 	case reason != f.lastFailure:
 		f.log.Warn().Err(err).Str("reason", reason).Msg("the store is still lost, for another reason")
@@ -269,6 +269,7 @@
 	defer end(nil)
 	if !relayed {
 		f.done.Go(func() { f.endWhenRelayAvailable(watchCtx, end) })
+		f.done.Go(func() { f.endWhenProbeFails(watchCtx, end) })
 	}
 	f.activeWatch.Store(f.newActiveWatch(relayed, end))
 	err := storer.Watch(watchCtx, store, f.prefix, revision+1, f.applyBatch)
@@ -277,8 +278,9 @@
 		return err
 	}
 	var stalled *StalledWatchError
-	if errors.As(context.Cause(watchCtx), &stalled) {
-		return stalled
+	var probe *ProbeError
+	if cause := context.Cause(watchCtx); errors.As(cause, &stalled) || errors.As(cause, &probe) {
+		return cause
 	}
 	f.replica.Expire(time.Now())
 	return nil
--- /dev/null
+++ b/follower/probe.go
@@ -0,0 +1,65 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"burdocklane/sleeper"
+	"burdocklane/storer"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// probeInterval is how often an instance that watches the store itself probes it.
+	probeInterval = 400 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
+)
+
+// ProbeError reports that the store did not answer a probe, so that the watch in
+// progress may never get an answer either.
+type ProbeError struct{ cause error }
+
+// Error implements error.
+func (e *ProbeError) Error() string { return fmt.Sprintf("probe failed: %v", e.cause) }
+
+// Unwrap returns why the probe failed.
+func (e *ProbeError) Unwrap() error { return e.cause }
+
+// endWhenProbeFails probes the store during a watch. A store that stays silent looks
+// the same to a watch as one without changes: a failed probe ends the watch, and a
+// probe that returns a later revision than the watch reveals that it has stalled.
+func (f *Follower) endWhenProbeFails(ctx context.Context, end context.CancelCauseFunc) {
+	if !storer.CanProbe(f.store) {
+		return
+	}
+	for sleeper.Sleep(ctx, probeInterval) {
+		revision, err := f.probe(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			end(&ProbeError{cause: err})
+			return
+		}
+		f.lastContact.Store(int64(f.now()))
+		f.NotifyRevision(revision)
+	}
+}
+
+func (f *Follower) probe(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return storer.Probe(ctx, f.store)
+}
+
+// lossTime returns when the store became unreachable. A failed probe shows that it
+// has been so for some time, possibly since the last contact.
+func (f *Follower) lossTime(err error) time.Duration {
+	var probe *ProbeError
+	if errors.As(err, &probe) {
+		return time.Duration(f.lastContact.Load())
+	}
+	return f.now()
+}
--- /dev/null
+++ b/follower/probe_test.go
@@ -0,0 +1,72 @@
+package follower_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdocklane/follower"
+	"burdocklane/storer"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+// probedStore is a store whose watch never gets an answer, and whose probes answer as
+// a test sets.
+type probedStore struct {
+	reads  atomic.Int64
+	probes atomic.Int64
+	probe  func(ctx context.Context) (int64, error)
+}
+
+func (s *probedStore) store() *storer.Remote {
+	return storer.NewRemote(
+		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+			n := s.reads.Add(1)
+			return storer.NewRangeResult([]storer.Pair{pair("a", "v", n)}, n*100), nil
+		}),
+		storer.WithPoll(func(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+			return storer.Batch{}, blockUntilDone(ctx)
+		}, 0),
+		storer.WithProbe(func(ctx context.Context) (int64, error) {
+			if s.probes.Add(1) > 1 { // The second read has repaired the watch.
+				return s.reads.Load() * 100, nil
+			}
+			return s.probe(ctx)
+		}))
+}
+
+// Guards against a silent watch that is taken for one without changes.
+func TestProbesRevealASilentWatch(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	tests := []struct {
+		name  string
+		probe func(ctx context.Context) (int64, error)
+		reads int64
+	}{
+		{"the store answers and has no changes", func(context.Context) (int64, error) { return 100, nil }, 1},
+		{"the answer is older than the keys", func(context.Context) (int64, error) { return 50, nil }, 1},
+		{"the store has changes that the watch did not deliver", func(context.Context) (int64, error) { return 150, nil }, 2},
+		{"the store does not answer", func(ctx context.Context) (int64, error) { return 0, blockUntilDone(ctx) }, 2},
+		{"the store refuses", func(context.Context) (int64, error) { return 0, errors.New("status 503") }, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := &probedStore{probe: test.probe}
+			relays := follower.NewRelays(func() bool { return false }, func() (storer.Store, bool) { return nil, false }, func() {}, time.Millisecond)
+			f := follower.New(s.store(), "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(), follower.WithRelays(relays))
+			f.Start()
+			defer f.Close()
+			for s.probes.Load() < 3 {
+				time.Sleep(time.Millisecond)
+			}
+			c.Assert(s.reads.Load(), qt.Equals, test.reads)
+			c.Assert(f.FollowsStore(), qt.IsTrue)
+		})
+	}
+}
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -14,6 +14,7 @@
 	readRange  func(ctx context.Context, prefix string) (RangeResult, error)
 	poll       func(ctx context.Context, prefix string, after int64) (Batch, error)
 	batchDelay time.Duration
+	probe      func(ctx context.Context) (int64, error)
 	commitTxn  func(ctx context.Context, t Txn) (TxnResult, error)
 	grant      func(ctx context.Context, ttl time.Duration) (int64, error)
 	keepAlive  func(ctx context.Context, lease int64) (bool, error)
@@ -39,6 +40,12 @@
 	return func(r *Remote) { r.poll, r.batchDelay = poll, batchDelay }
 }
 
+// WithProbe sets the function that reads the store's revision at a low price. The
+// revision may be some seconds old.
+func WithProbe(probe func(ctx context.Context) (int64, error)) RemoteOption {
+	return func(r *Remote) { r.probe = probe }
+}
+
 // WithCommit sets the function that runs a transaction.
 func WithCommit(commit func(ctx context.Context, t Txn) (TxnResult, error)) RemoteOption {
 	return func(r *Remote) { r.commitTxn = commit }
--- a/storer/store.go
+++ b/storer/store.go
@@ -250,6 +250,21 @@
 	return errUnknownStoreType
 }
 
+// CanProbe reports whether Probe is available for the store.
+func CanProbe(s Store) bool {
+	remote, ok := s.(*Remote)
+	return ok && remote.probe != nil
+}
+
+// Probe checks that the store answers, and returns its revision, which may be some
+// seconds old.
+func Probe(ctx context.Context, s Store) (int64, error) {
+	if remote, ok := s.(*Remote); ok && remote.probe != nil {
+		return remote.probe(ctx)
+	}
+	return 0, errUnknownStoreType
+}
+
 // Grant creates a lease and returns its ID.
 func Grant(ctx context.Context, s Store, ttl time.Duration) (int64, error) {
 	switch s := s.(type) {
