Check in the soak when a configuration becomes active

Cause: with SOAK_TIMING=1 the soak checked drains and stops, but not that a configuration is active within 2 s of its confirmation. Every fault counted as a disturbance of the whole fleet, so an instance that nothing had affected was excused as well.

Change: faults record which instance they disturbed; those that affect the store itself disturb all. A process that answers 404 for a version confirmed more than 2 s ago, without a disturbance of its instance in these 2 s or the 3 s before, fails the run. SOAK_FAULTS names the faults to inject.

--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -18,7 +18,18 @@
 // fault is a failure that is injected for a given time.
 type fault struct {
 	name   string
-	inject func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration)
+	inject injection
+}
+
+type injection func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration)
+
+// disturbing records the time of the injection as a disturbance of all instances.
+func disturbing(inject injection) injection {
+	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
+		start := time.Now()
+		inject(ctx, f, rng, duration)
+		f.recordDisturbance(nil, start, time.Now())
+	}
 }
 
 const (
@@ -36,11 +47,11 @@
 		{"instance-stopped", withInstance(stopAndRestart)},
 		{"instance-stopped-twice", withInstance(stopWithTwoSignals)},
 		{"instance-reloads", withInstance(reload)},
-		{"all-killed", killAllInstances},
-		{"store-down", storeFault((*imitator.Store).SetDown)},
-		{"store-mute", storeFault((*imitator.Store).SetDropResponses)},
-		{"store-slow", slowStore},
-		{"store-compacts", compactStore},
+		{"all-killed", disturbing(killAllInstances)},
+		{"store-down", disturbing(storeFault((*imitator.Store).SetDown))},
+		{"store-mute", disturbing(storeFault((*imitator.Store).SetDropResponses))},
+		{"store-slow", disturbing(slowStore)},
+		{"store-compacts", disturbing(compactStore)},
 		{"store-link-silent", storeLinkFault(toxic("timeout", "upstream", `"timeout":0`), toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-one-way", storeLinkFault(toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-slow", storeLinkFault(toxic("latency", "downstream", `"latency":300,"jitter":200`))},
@@ -62,26 +73,24 @@
 // injectFaults injects one fault after the other until the context ends. The test
 // runs it concurrently, so several faults may be active at once.
 func injectFaults(ctx context.Context, f *fleet, rng *rand.Rand) {
-	faults := allFaults()
+	faults := selectedFaults(f.c)
 	for ctx.Err() == nil {
 		fault := faults[rng.IntN(len(faults))]
 		duration := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		f.c.Logf("%s for %s", fault.name, duration.Round(time.Millisecond))
-		start := time.Now()
 		fault.inject(ctx, f, rng, duration)
-		if !strings.HasPrefix(fault.name, "worker-") {
-			f.recordDisturbance(start, time.Now())
-		}
 		sleeper.Sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultInterval))))
 	}
 }
 
-func withInstance(inject func(ctx context.Context, f *fleet, i *instance, duration time.Duration)) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+func withInstance(inject func(ctx context.Context, f *fleet, i *instance, duration time.Duration)) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
 		i := f.instances[rng.IntN(len(f.instances))]
 		i.faultMutex.Lock()
 		defer i.faultMutex.Unlock()
+		start := time.Now()
 		inject(ctx, f, i, duration)
+		f.recordDisturbance(i, start, time.Now())
 	}
 }
 
@@ -134,7 +143,7 @@
 	}
 }
 
-func storeFault(set func(*imitator.Store, bool)) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+func storeFault(set func(*imitator.Store, bool)) injection {
 	return func(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
 		set(f.store, true)
 		sleeper.Sleep(ctx, duration)
@@ -176,13 +185,16 @@
 	}
 }
 
-func storeLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+func storeLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
-		applyToxics(ctx, f, f.instances[rng.IntN(len(f.instances))].storeProxy, duration, toxics)
+		i := f.instances[rng.IntN(len(f.instances))]
+		start := time.Now()
+		applyToxics(ctx, f, i.storeProxy, duration, toxics)
+		f.recordDisturbance(i, start, time.Now())
 	}
 }
 
-func workerLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+func workerLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
 		applyToxics(ctx, f, f.pickWorker(rng).proxy, duration, toxics)
 	}
@@ -206,7 +218,7 @@
 	}
 }
 
-func workerFault(fault imitator.Fault) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+func workerFault(fault imitator.Fault) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
 		w := f.pickWorker(rng).worker
 		w.SetFault(fault)
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -46,34 +46,11 @@
 	instances    []*instance
 	incarnations []*incarnation
 	version      int
-	// disturbances are the periods in which faults affected instances or their
-	// connections to the store.
-	disturbances []disturbance
-}
-
-type disturbance struct {
-	from time.Time
-	to   time.Time
-}
-
-// recoveryTime is how long after the last fault time limits hold again.
-const recoveryTime = 3 * time.Second
-
-func (f *fleet) recordDisturbance(from, to time.Time) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.disturbances = append(f.disturbances, disturbance{from: from, to: to})
-}
-
-// wasUndisturbed reports whether no fault affected instances or the store from
-// recoveryTime before from until to.
-func (f *fleet) wasUndisturbed(from, to time.Time) bool {
-	for _, t := range f.disturbances {
-		if t.from.Before(to) && t.to.Add(recoveryTime).After(from) {
-			return false
-		}
-	}
-	return true
+	// confirmations are the times at which the store had confirmed the versions of
+	// the configuration, from the first on.
+	confirmations   []time.Time
+	disturbances    []disturbance
+	lateActivations []lateActivation
 }
 
 // proxiedWorker is a worker behind a proxy.
@@ -100,9 +77,10 @@
 
 // incarnation is one run of an instance's process.
 type incarnation struct {
-	process *launcher.Process
-	callers string
-	mutex   sync.Mutex // Guards the fields below.
+	instance *instance
+	process  *launcher.Process
+	callers  string
+	mutex    sync.Mutex // Guards the fields below.
 	// disturbed reports that a fault may have aborted calls.
 	disturbed    bool
 	latestServed int // The latest configuration version that was seen active.
@@ -161,6 +139,7 @@
 	}
 	f.store.Put(configKey, fmt.Sprintf(`{"Version":"r%d","Routes":{%s},"Services":{%q:{"HealthPath":%q}},"Limits":{"IdleTimeoutMs":15000}}`,
 		f.version, strings.Join(routes, ","), serviceName, imitator.HealthPath))
+	f.confirmations = append(f.confirmations, time.Now())
 }
 
 func (f *fleet) latestVersion() int {
@@ -260,7 +239,7 @@
 	f.c.Check(p.AwaitOutput(), qt.IsNil)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	i.incarnation = &incarnation{process: p, callers: i.callers}
+	i.incarnation = &incarnation{instance: i, process: p, callers: i.callers}
 	f.incarnations = append(f.incarnations, i.incarnation)
 }
 
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +29,7 @@
 	envDuration        = "SOAK_TIME"   // The duration of each seed's run.
 	envCheckTimeLimits = "SOAK_TIMING" // Whether time limits are checked too.
 	envInstances       = "SOAK_FLEET"  // The number of instances; four if unset.
+	envFaults          = "SOAK_FAULTS" // The faults that are injected, separated by commas; all if unset.
 )
 
 // instanceCount returns the number of instances of a run.
@@ -39,6 +42,17 @@
 // checkTimeLimits reports whether time limits are checked.
 var checkTimeLimits = os.Getenv(envCheckTimeLimits) != ""
 
+// selectedFaults returns the faults that are injected.
+func selectedFaults(c *qt.C) []fault {
+	names := os.Getenv(envFaults)
+	if names == "" {
+		return allFaults()
+	}
+	selected := slices.DeleteFunc(allFaults(), func(f fault) bool { return !slices.Contains(strings.Split(names, ","), f.name) })
+	c.Assert(selected, qt.Not(qt.HasLen), 0)
+	return selected
+}
+
 // manualRun returns the seeds and the duration of a manual run, and false if none
 // was requested.
 func manualRun(c *qt.C) (seeds []uint64, duration time.Duration, ok bool) {
@@ -125,6 +139,7 @@
 	cs.running.Wait()
 	watchers.Wait()
 	f.checkOutcomes(cs.outcomes)
+	f.checkActivations()
 }
 
 // awaitVersion waits until every instance serves the route that this version of the
@@ -164,6 +179,9 @@
 func (f *fleet) watchRoutes(ctx context.Context) {
 	for sleeper.Sleep(ctx, 100*time.Millisecond) {
 		for _, i := range f.currentIncarnations() {
+			if checkTimeLimits {
+				f.observeActivation(ctx, i)
+			}
 			latest := f.latestVersion()
 			switch status := f.probe(ctx, i, latest); {
 			case status == http.StatusOK:
