Let the soak's store refuse single instances

Cause: the soak's store was down, slow or mute for the whole fleet at once; the platform may refuse one instance and serve the others.

Change: each instance has an address of the store of its own behind its proxy. store-refuses-instance answers one instance with 503 or 429, resets its connections or leaves it without a response, and changes the configuration in that time. The faults that affect the store and the links to it get a file.

--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -52,6 +52,7 @@
 		{"store-mute", disturbing(storeFault((*imitator.Store).SetDropResponses))},
 		{"store-slow", disturbing(slowStore)},
 		{"store-compacts", disturbing(compactStore)},
+		{"store-refuses-instance", refuseInstance},
 		{"store-link-silent", storeLinkFault(toxic("timeout", "upstream", `"timeout":0`), toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-one-way", storeLinkFault(toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-slow", storeLinkFault(toxic("latency", "downstream", `"latency":300,"jitter":200`))},
@@ -143,28 +144,6 @@
 	}
 }
 
-func storeFault(set func(*imitator.Store, bool)) injection {
-	return func(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
-		set(f.store, true)
-		sleeper.Sleep(ctx, duration)
-		set(f.store, false)
-	}
-}
-
-func slowStore(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
-	f.store.SetDelay(duration / 8)
-	sleeper.Sleep(ctx, duration)
-	f.store.SetDelay(0)
-}
-
-func compactStore(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
-	for range 4 {
-		f.store.Compact()
-		f.store.Put("status/soak", "x")
-		sleeper.Sleep(ctx, duration/4)
-	}
-}
-
 var lastToxicNumber atomic.Int64
 
 // toxic returns a function that adds a fault to a proxy's links and returns the
@@ -185,15 +164,6 @@
 	}
 }
 
-func storeLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) injection {
-	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
-		i := f.instances[rng.IntN(len(f.instances))]
-		start := time.Now()
-		applyToxics(ctx, f, i.storeProxy, duration, toxics)
-		f.recordDisturbance(i, start, time.Now())
-	}
-}
-
 func workerLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
 		applyToxics(ctx, f, f.pickWorker(rng).proxy, duration, toxics)
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -70,6 +70,7 @@
 	name        string
 	callers     string
 	settings    string
+	entrance    *imitator.Entrance // The instance's own address of the store.
 	storeProxy  *toxiproxy.Proxy
 	faultMutex  sync.Mutex // Held by the fault that acts on the process.
 	incarnation *incarnation
@@ -214,7 +215,8 @@
 func (f *fleet) addInstance(name, zone string) {
 	first := assignPorts(f.c)
 	callers, ready, internal := address(first), address(first+1), first+2
-	i := &instance{name: name, callers: callers, storeProxy: newProxy(f.c, f.store.Address())}
+	i := &instance{name: name, callers: callers, entrance: f.store.NewEntrance()}
+	i.storeProxy = newProxy(f.c, i.entrance.Address())
 	i.settings = filepath.Join(f.launcher.Dir(), name+".conf")
 	f.c.Assert(os.WriteFile(i.settings, fmt.Appendf(nil, `NodeName=%s
 Ip=%s
