--- a/soaker/timing_test.go
+++ b/soaker/timing_test.go
@@ -90,20 +90,15 @@
 	f.lateActivations = append(f.lateActivations, lateActivation{incarnation: i, version: version, at: now})
 }
 
-// checkActivations reports the first late activation of each process and version
-// that no fault explains.
+// checkActivations reports the first late activation of each process that no fault
+// explains.
 func (f *fleet) checkActivations() {
-	type activation struct {
-		incarnation *incarnation
-		version     int
-	}
-	reported := map[activation]bool{}
+	reported := map[*incarnation]bool{}
 	for _, late := range f.lateActivations {
-		key := activation{incarnation: late.incarnation, version: late.version}
-		if reported[key] || !f.wasInstanceUndisturbed(late.incarnation.instance, late.at.Add(-activationTimeout), late.at) {
+		if reported[late.incarnation] || !f.wasInstanceUndisturbed(late.incarnation.instance, late.at.Add(-activationTimeout), late.at) {
 			continue
 		}
-		reported[key] = true
+		reported[late.incarnation] = true
 		f.c.Errorf("configuration %d is not active on %s %s after its confirmation", late.version, late.incarnation.process.Name(),
 			late.at.Sub(f.confirmations[late.version-1]).Round(time.Millisecond))
 	}
