Let the soak's store leave waiting watches silent

Cause: open connections to the store may go silent for good while new ones work. The soak played this only for all connections of an instance and ended it.

Change: store-watches-silent leaves the waiting watches of one instance, or of all, without a response, and changes the configuration. Other requests are served, so the fault excuses nothing.

--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -53,6 +53,7 @@
 		{"store-slow", disturbing(slowStore)},
 		{"store-compacts", disturbing(compactStore)},
 		{"store-refuses-instance", refuseInstance},
+		{"store-watches-silent", silenceWatches},
 		{"store-link-silent", storeLinkFault(toxic("timeout", "upstream", `"timeout":0`), toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-one-way", storeLinkFault(toxic("timeout", "downstream", `"timeout":0`))},
 		{"store-link-slow", storeLinkFault(toxic("latency", "downstream", `"latency":300,"jitter":200`))},
--- a/soaker/store_faults_test.go
+++ b/soaker/store_faults_test.go
@@ -55,6 +55,18 @@
 	f.recordDisturbance(i, start, time.Now())
 }
 
+// silenceWatches leaves the waiting watches of one instance or of all without a
+// response for good. The store serves other requests, so time limits hold.
+func silenceWatches(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
+	if rng.IntN(2) == 0 {
+		f.store.SilenceWatches()
+	} else {
+		f.instances[rng.IntN(len(f.instances))].entrance.SilenceWatches()
+	}
+	f.putNextConfiguration()
+	sleeper.Sleep(ctx, duration)
+}
+
 func storeLinkFault(toxics ...func(*fleet, *toxiproxy.Proxy) func()) injection {
 	return func(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
 		i := f.instances[rng.IntN(len(f.instances))]
