--- a/applier/applier.go
+++ b/applier/applier.go
@@ -122,7 +122,7 @@
 	committed, err := storer.Commit(ctx, a.store, plan.Txn())
 	switch {
 	case err == nil && committed.Succeeded():
-		return Accepted{revision: descriptor.Revision(committed.Revision()), changedServices: plan.ChangedServices()}, nil
+		return Accepted{revision: assembler.ConfigurationRevision(committed.Revision()), changedServices: plan.ChangedServices()}, nil
 	case err == nil:
 		return a.conflictResult(ctx, d, change)
 	}
--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -43,7 +43,7 @@
 // parsedService caches a parsed service for the revision of its key.
 type parsedService struct {
 	service  descriptor.Service
-	revision int64
+	revision storer.Revision
 }
 
 // New returns an Assembler that knows no values yet.
@@ -61,7 +61,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, pair := range pairs {
-		if pair.Revision() > a.pairs[pair.Key()].Revision() {
+		if pair.Revision().After(a.pairs[pair.Key()].Revision()) {
 			a.pairs[pair.Key()] = pair
 		}
 	}
@@ -129,7 +129,7 @@
 	defer a.mutex.Unlock()
 	var newer []storer.Pair
 	for _, pair := range a.pairs {
-		if pair.Revision() > int64(revision) {
+		if ConfigurationRevision(pair.Revision()) > revision {
 			newer = append(newer, pair)
 		}
 	}
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -32,7 +32,7 @@
 	if err != nil || !committed.Succeeded() {
 		t.Fatalf("apply: %v", err)
 	}
-	return descriptor.Revision(committed.Revision())
+	return assembler.ConfigurationRevision(committed.Revision())
 }
 
 func encode(t rapid.TB, d descriptor.Deployment) string {
--- a/assembler/manifest.go
+++ b/assembler/manifest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdocklane/descriptor"
+	"burdocklane/storer"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
@@ -33,24 +34,31 @@
 	Services []string  `json:"services-changed"`
 }
 
+// ConfigurationRevision returns the version of a configuration that was written at a
+// revision of the store. It is the number alone: configurations are kept in etcd,
+// which gives out no number twice.
+func ConfigurationRevision(r storer.Revision) descriptor.Revision {
+	return descriptor.Revision(r.Number())
+}
+
 // Manifest is the decoded value of the deployment key. It lists the services of a
 // configuration with a hash of each one's value.
 type Manifest struct {
 	message  manifestMessage
-	revision int64
+	revision storer.Revision
 }
 
 // ParseManifest decodes the deployment key's value.
-func ParseManifest(value []byte, revision int64) (Manifest, error) {
+func ParseManifest(value []byte, revision storer.Revision) (Manifest, error) {
 	m := Manifest{revision: revision}
 	if err := json.Unmarshal(value, &m.message); err != nil {
-		return m, errors.Wrapf(err, "deployment key at revision %d", revision)
+		return m, errors.Wrapf(err, "deployment key at revision %s", revision)
 	}
 	return m, nil
 }
 
 // Revision returns the store's revision of the deployment key.
-func (m Manifest) Revision() descriptor.Revision { return descriptor.Revision(m.revision) }
+func (m Manifest) Revision() descriptor.Revision { return ConfigurationRevision(m.revision) }
 
 // ChangeNumber returns the sequence number of the change that wrote the manifest.
 func (m Manifest) ChangeNumber() int64 { return m.message.Number }
@@ -63,20 +71,20 @@
 // HistoryRecord is the record of one change in the history.
 type HistoryRecord struct {
 	message  recordMessage
-	revision int64
+	revision storer.Revision
 }
 
 // ParseHistoryRecord decodes a history key's value.
-func ParseHistoryRecord(value []byte, revision int64) (HistoryRecord, error) {
+func ParseHistoryRecord(value []byte, revision storer.Revision) (HistoryRecord, error) {
 	r := HistoryRecord{revision: revision}
 	if err := json.Unmarshal(value, &r.message); err != nil {
-		return r, errors.Wrapf(err, "history key at revision %d", revision)
+		return r, errors.Wrapf(err, "history key at revision %s", revision)
 	}
 	return r, nil
 }
 
 // Revision returns the revision that the change created.
-func (r HistoryRecord) Revision() descriptor.Revision { return descriptor.Revision(r.revision) }
+func (r HistoryRecord) Revision() descriptor.Revision { return ConfigurationRevision(r.revision) }
 
 // Change returns the change that the record is about.
 func (r HistoryRecord) Change() descriptor.Change {
--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	revision := func() int64 { return p.follower.Revision() }
+	revision := func() storer.Revision { return p.follower.Revision() }
 	p.selector = relayer.NewSelector(p.self(), revision, func() []registrar.Instance { return p.gossiper.LiveCoordinators() })
 	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log)
 	if err != nil {
--- a/exchanger/message.go
+++ b/exchanger/message.go
@@ -13,6 +13,9 @@
 	"github.com/go-faster/errors"
 )
 
+// etcdEra is the era of all revisions of the configuration, which is kept in etcd.
+const etcdEra = 0
+
 // exchange sends one message to a peer and applies its reply.
 func (x *Exchanger) exchange(ctx context.Context, peer registrar.Instance, probe registrar.InstanceID, pairs []*messenger.Pair) (*messenger.ExchangeReply, error) {
 	x.mutex.Lock()
@@ -109,7 +112,7 @@
 func encodePairs(pairs []storer.Pair) []*messenger.Pair {
 	messages := make([]*messenger.Pair, 0, len(pairs))
 	for _, p := range pairs {
-		messages = append(messages, &messenger.Pair{Key: p.Key(), Value: p.Value(), Revision: p.Revision()})
+		messages = append(messages, &messenger.Pair{Key: p.Key(), Value: p.Value(), Revision: p.Revision().Number()})
 	}
 	return messages
 }
@@ -117,7 +120,7 @@
 func decodePairs(messages []*messenger.Pair) []storer.Pair {
 	pairs := make([]storer.Pair, 0, len(messages))
 	for _, m := range messages {
-		pairs = append(pairs, storer.NewPair(m.GetKey(), m.GetValue(), m.GetRevision()))
+		pairs = append(pairs, storer.NewPair(m.GetKey(), m.GetValue(), storer.NewRevision(etcdEra, m.GetRevision())))
 	}
 	return pairs
 }
--- a/follower/fallback.go
+++ b/follower/fallback.go
@@ -26,7 +26,7 @@
 // revision than this instance: if the store serves nobody, peers have nothing new.
 func (f *Follower) followFallback(ctx context.Context) bool {
 	for range maxFallbackTries {
-		if f.peerRevision.Load() <= f.knownRevision.Load() {
+		if !f.peerRevision.Load().After(f.knownRevision.Load()) {
 			return false
 		}
 		peer, ok := f.relays.nextFallback()
--- a/follower/fallback_test.go
+++ b/follower/fallback_test.go
@@ -32,7 +32,7 @@
 			return fallbacks[n], true
 		})
 	seen = make(chan int64, 64)
-	f = follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision() }, zerolog.Nop(), follower.WithRelays(relays))
+	f = follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision().Number() }, zerolog.Nop(), follower.WithRelays(relays))
 	f.Start()
 	c.Cleanup(f.Close)
 	c.Assert(<-seen, qt.Equals, int64(100))
@@ -61,10 +61,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			f, seen := refusedByStore(c, &scriptedStore{}, test.fallbacks...)
-			f.NotifyRevision(150)
-			for revision := int64(0); revision != 150; {
+			f.NotifyRevision(revision(150))
+			for got := int64(0); got != 150; {
 				select {
-				case revision = <-seen:
+				case got = <-seen:
 				case <-time.After(10 * time.Second):
 					c.Fatal("the revision that peers know was not read")
 				}
@@ -86,7 +86,7 @@
 	}))
 	s := &scriptedStore{}
 	f, _ := refusedByStore(c, s, peer)
-	f.NotifyRevision(100)
+	f.NotifyRevision(revision(100))
 	for s.failingReads.Load() > 1<<30-4 { // Until the store has failed some times.
 		time.Sleep(time.Millisecond)
 	}
@@ -100,7 +100,7 @@
 	c := qt.New(t)
 	s := &scriptedStore{}
 	f, seen := refusedByStore(c, s, fakeRelay(150, blockUntilDone))
-	f.NotifyRevision(150)
+	f.NotifyRevision(revision(150))
 	for <-seen != 150 {
 		continue
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -52,9 +52,9 @@
 	relays        Relays
 	log           zerolog.Logger
 	lastContact   atomic.Int64
-	knownRevision atomic.Int64 // The store's revision that the replica has reached.
-	peerRevision  atomic.Int64 // The latest revision that a peer has reported.
-	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
+	knownRevision storer.RevisionMark // The store's revision that the replica has reached.
+	peerRevision  storer.RevisionMark // The latest revision that a peer or a probe has reported.
+	lostAt        atomic.Int64        // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
 	direct        atomic.Bool   // The keys are read from the store itself, not from a relay.
 	source        atomic.Value  // The name of the store or relay that the keys were last read from.
@@ -104,7 +104,7 @@
 }
 
 // Revision returns the store's revision that the replica has reached.
-func (f *Follower) Revision() int64 { return f.knownRevision.Load() }
+func (f *Follower) Revision() storer.Revision { return f.knownRevision.Load() }
 
 // Source returns the name of the store or relay that the keys were last read from.
 func (f *Follower) Source() string {
@@ -127,11 +127,11 @@
 // the watch does not deliver it within the catch-up timeout, the watch is
 // considered stalled, and the keys are read again. If no watch is in progress, it
 // ends the current backoff early.
-func (f *Follower) NotifyRevision(revision int64) {
-	if revision <= f.knownRevision.Load() {
+func (f *Follower) NotifyRevision(revision storer.Revision) {
+	if !revision.After(f.knownRevision.Load()) {
 		return
 	}
-	f.peerRevision.Store(revision)
+	f.peerRevision.Advance(revision)
 	w := f.activeWatch.Load()
 	if w == nil {
 		select {
@@ -142,8 +142,8 @@
 	}
 	time.AfterFunc(w.catchUpTimeout, func() {
 		have := f.knownRevision.Load()
-		if revision > have && f.activeWatch.CompareAndSwap(w, nil) {
-			f.log.Warn().Int64("revision", revision).Int64("have", have).Bool("relayed", w.relayed).
+		if revision.After(have) && f.activeWatch.CompareAndSwap(w, nil) {
+			f.log.Warn().Stringer("revision", revision).Stringer("have", have).Bool("relayed", w.relayed).
 				Msg("watch has not delivered a revision that peers know; reading the keys again")
 			w.end(&StalledWatchError{have: have, known: revision})
 		}
@@ -239,7 +239,7 @@
 	if err != nil {
 		return err
 	}
-	if have := f.knownRevision.Load(); result.Revision() < have {
+	if have := f.knownRevision.Load(); result.Revision().Before(have) {
 		return &StaleReadError{have: have, read: result.Revision()}
 	}
 	f.recordRead(storer.Name(store))
@@ -248,7 +248,7 @@
 	}
 	f.direct.Store(!relayed)
 	f.source.Store(storer.Name(store))
-	f.knownRevision.Store(result.Revision())
+	f.knownRevision.Advance(result.Revision())
 	f.replica.Replace(result.Pairs())
 	f.publish()
 	if !relayed && f.waitForRelay(ctx) {
@@ -258,7 +258,7 @@
 }
 
 // watchKeys watches the keys after a revision.
-func (f *Follower) watchKeys(ctx context.Context, store storer.Store, revision int64, relayed bool) error {
+func (f *Follower) watchKeys(ctx context.Context, store storer.Store, revision storer.Revision, relayed bool) error {
 	deadline, ok := f.replica.RetentionDeadline()
 	if !ok {
 		deadline = time.Now().Add(maxWatchDuration)
@@ -272,7 +272,7 @@
 		f.done.Go(func() { f.endWhenProbeFails(watchCtx, end) })
 	}
 	f.activeWatch.Store(f.newActiveWatch(relayed, end))
-	err := storer.Watch(watchCtx, store, f.prefix, revision+1, f.applyBatch)
+	err := storer.Watch(watchCtx, store, f.prefix, revision, f.applyBatch)
 	f.activeWatch.Store(nil)
 	if watchCtx.Err() == nil {
 		return err
@@ -303,7 +303,7 @@
 
 func (f *Follower) applyBatch(b storer.Batch) {
 	f.lastContact.Store(int64(f.now()))
-	f.knownRevision.Store(max(f.knownRevision.Load(), b.Revision()))
+	f.knownRevision.Advance(b.Revision())
 	if f.replica.Apply(b.Events()) {
 		f.publish()
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -31,9 +31,9 @@
 				return storer.RangeResult{}, errors.New("store is unreachable")
 			}
 			n := s.reads.Add(1)
-			return storer.NewRangeResult([]storer.Pair{pair("a", "v", n)}, n*100), nil
+			return storer.NewRangeResult([]storer.Pair{pair("a", "v", n)}, revision(n*100)), nil
 		}),
-		storer.WithPoll(func(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
 			return s.poll(ctx, s.polls.Add(1))
 		}, time.Millisecond))
 }
@@ -45,7 +45,7 @@
 		failingReads int64
 		err          error
 	}{
-		{"history compacted", 0, storer.NewCompactedError(100)},
+		{"history compacted", 0, storer.NewCompactedError(revision(100))},
 		{"watch cut", 0, errors.New("connection reset")},
 		{"store unreachable for some tries", 3, errors.New("connection reset")},
 	}
@@ -61,12 +61,12 @@
 				<-ctx.Done()
 				return storer.Batch{}, ctx.Err()
 			}
-			seen := make(chan int64, 8)
+			seen := make(chan storer.Revision, 8)
 			f := follower.New(s.store(), "", func(usable []storer.Pair, _ storer.RangeResult) { seen <- usable[0].Revision() }, zerolog.Nop())
 			f.Start()
 			defer f.Close()
-			c.Assert(<-seen, qt.Equals, int64(1))
-			c.Assert(<-seen, qt.Equals, int64(2))
+			c.Assert(<-seen, qt.Equals, revision(1))
+			c.Assert(<-seen, qt.Equals, revision(2))
 		})
 	}
 }
@@ -80,27 +80,27 @@
 		<-ctx.Done()
 		return storer.Batch{}, ctx.Err()
 	}}
-	seen := make(chan int64, 8)
+	seen := make(chan storer.Revision, 8)
 	f := follower.New(s.store(), "", func(usable []storer.Pair, _ storer.RangeResult) { seen <- usable[0].Revision() }, zerolog.Nop())
 	f.Start()
 	defer f.Close()
-	c.Assert(<-seen, qt.Equals, int64(1))
+	c.Assert(<-seen, qt.Equals, revision(1))
 	for s.polls.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	f.NotifyRevision(100) // Already known.
-	f.NotifyRevision(150)
-	c.Assert(<-seen, qt.Equals, int64(2))
+	f.NotifyRevision(revision(100)) // Already known.
+	f.NotifyRevision(revision(150))
+	c.Assert(<-seen, qt.Equals, revision(2))
 	c.Assert(s.reads.Load(), qt.Equals, int64(2))
 }
 
 // fakeRelay is a relay whose watch ends as a test sets.
-func fakeRelay(revision int64, poll func(ctx context.Context) error) *storer.Remote {
+func fakeRelay(number int64, poll func(ctx context.Context) error) *storer.Remote {
 	return storer.NewRemote(
 		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
-			return storer.NewRangeResult([]storer.Pair{pair("a", "v", revision)}, revision), nil
+			return storer.NewRangeResult([]storer.Pair{pair("a", "v", number)}, revision(number)), nil
 		}),
-		storer.WithPoll(func(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
 			return storer.Batch{}, poll(ctx)
 		}, 0))
 }
@@ -130,16 +130,16 @@
 			s := &scriptedStore{poll: func(ctx context.Context, _ int64) (storer.Batch, error) { return storer.Batch{}, blockUntilDone(ctx) }}
 			var failed atomic.Bool
 			nextRelay := func() (storer.Store, bool) { return test.relay, test.relay != nil && !failed.Load() }
-			seen := make(chan int64, 8)
+			seen := make(chan storer.Revision, 8)
 			f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision() }, zerolog.Nop(),
 				follower.WithRelays(follower.NewRelays(func() bool { return true }, nextRelay, func() { failed.Store(true) }, time.Millisecond)))
 			f.Start()
 			defer f.Close()
 			for {
-				f.NotifyRevision(test.known)
+				f.NotifyRevision(revision(test.known))
 				select {
-				case revision := <-seen:
-					if revision < 100 {
+				case got := <-seen:
+					if got.Before(revision(100)) {
 						continue
 					}
 				case <-time.After(time.Millisecond):
@@ -164,20 +164,20 @@
 	s.poll = func(ctx context.Context, nth int64) (storer.Batch, error) {
 		if nth == 1 { // From now on a relay is available.
 			enabled.Store(true)
-			return storer.Batch{}, storer.NewCompactedError(100)
+			return storer.Batch{}, storer.NewCompactedError(revision(100))
 		}
 		return storer.Batch{}, blockUntilDone(ctx)
 	}
 	lagging := fakeRelay(50, blockUntilDone)
 	var failed atomic.Bool
 	nextRelay := func() (storer.Store, bool) { return lagging, !failed.Load() }
-	seen := make(chan int64, 8)
+	seen := make(chan storer.Revision, 8)
 	f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision() }, zerolog.Nop(),
 		follower.WithRelays(follower.NewRelays(enabled.Load, nextRelay, func() { failed.Store(true) }, time.Second)))
 	f.Start()
 	defer f.Close()
-	c.Assert(<-seen, qt.Equals, int64(100))
-	c.Assert(<-seen, qt.Equals, int64(200))
+	c.Assert(<-seen, qt.Equals, revision(100))
+	c.Assert(<-seen, qt.Equals, revision(200))
 }
 
 // A relay that has just recovered from an outage may lack keys of workers that put
@@ -201,13 +201,13 @@
 				storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
 					if first {
 						first = false
-						return storer.NewRangeResult([]storer.Pair{pair("a", "v", 1)}, 1), nil
+						return storer.NewRangeResult([]storer.Pair{pair("a", "v", 1)}, revision(1)), nil
 					}
-					return storer.NewRangeResult([]storer.Pair{pair("b", "v", 2)}, 2).WithRecovering(test.recovering), nil
+					return storer.NewRangeResult([]storer.Pair{pair("b", "v", 2)}, revision(2)).WithRecovering(test.recovering), nil
 				}),
-				storer.WithPoll(func(ctx context.Context, _ string, after int64) (storer.Batch, error) {
-					if after == 1 {
-						return storer.Batch{}, storer.NewCompactedError(1)
+				storer.WithPoll(func(ctx context.Context, _ string, after storer.Revision) (storer.Batch, error) {
+					if after == revision(1) {
+						return storer.Batch{}, storer.NewCompactedError(revision(1))
 					}
 					return storer.Batch{}, blockUntilDone(ctx)
 				}, 0))
@@ -215,7 +215,7 @@
 			ready := make(chan struct{})
 			s := &scriptedStore{}
 			f := follower.New(s.store(), "", func(usable []storer.Pair, stored storer.RangeResult) {
-				if stored.Revision() < 2 {
+				if stored.Revision().Before(revision(2)) {
 					return
 				}
 				for _, p := range usable {
--- a/follower/probe.go
+++ b/follower/probe.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func (f *Follower) probe(ctx context.Context) (int64, error) {
+func (f *Follower) probe(ctx context.Context) (storer.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return storer.Probe(ctx, f.store)
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -20,21 +20,21 @@
 type probedStore struct {
 	reads  atomic.Int64
 	probes atomic.Int64
-	probe  func(ctx context.Context) (int64, error)
+	probe  func(ctx context.Context) (storer.Revision, error)
 }
 
 func (s *probedStore) store() *storer.Remote {
 	return storer.NewRemote(
 		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
 			n := s.reads.Add(1)
-			return storer.NewRangeResult([]storer.Pair{pair("a", "v", n)}, n*100), nil
+			return storer.NewRangeResult([]storer.Pair{pair("a", "v", n)}, revision(n*100)), nil
 		}),
-		storer.WithPoll(func(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
 			return storer.Batch{}, blockUntilDone(ctx)
 		}, 0),
-		storer.WithProbe(func(ctx context.Context) (int64, error) {
+		storer.WithProbe(func(ctx context.Context) (storer.Revision, error) {
 			if s.probes.Add(1) > 1 { // The second read has repaired the watch.
-				return s.reads.Load() * 100, nil
+				return revision(s.reads.Load() * 100), nil
 			}
 			return s.probe(ctx)
 		}))
@@ -45,14 +45,14 @@
 	defer goleak.VerifyNone(t)
 	tests := []struct {
 		name  string
-		probe func(ctx context.Context) (int64, error)
+		probe func(ctx context.Context) (storer.Revision, error)
 		reads int64
 	}{
-		{"the store answers and has no changes", func(context.Context) (int64, error) { return 100, nil }, 1},
-		{"the answer is older than the keys", func(context.Context) (int64, error) { return 50, nil }, 1},
-		{"the store has changes that the watch did not deliver", func(context.Context) (int64, error) { return 150, nil }, 2},
-		{"the store does not answer", func(ctx context.Context) (int64, error) { return 0, blockUntilDone(ctx) }, 2},
-		{"the store refuses", func(context.Context) (int64, error) { return 0, errors.New("status 503") }, 2},
+		{"the store answers and has no changes", func(context.Context) (storer.Revision, error) { return revision(100), nil }, 1},
+		{"the answer is older than the keys", func(context.Context) (storer.Revision, error) { return revision(50), nil }, 1},
+		{"the store has changes that the watch did not deliver", func(context.Context) (storer.Revision, error) { return revision(150), nil }, 2},
+		{"the store does not answer", func(ctx context.Context) (storer.Revision, error) { return revision(0), blockUntilDone(ctx) }, 2},
+		{"the store refuses", func(context.Context) (storer.Revision, error) { return revision(0), errors.New("status 503") }, 2},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -76,24 +76,24 @@
 // StalledWatchError reports a watch that does not deliver a revision that peers
 // know.
 type StalledWatchError struct {
-	have  int64
-	known int64
+	have  storer.Revision
+	known storer.Revision
 }
 
 // Error implements error.
 func (e *StalledWatchError) Error() string {
-	return fmt.Sprintf("watch is stalled at revision %d; peers know revision %d", e.have, e.known)
+	return fmt.Sprintf("watch is stalled at revision %s; peers know revision %s", e.have, e.known)
 }
 
 // StaleReadError reports a read at an older revision than the replica's.
 type StaleReadError struct {
-	have int64
-	read int64
+	have storer.Revision
+	read storer.Revision
 }
 
 // Error implements error.
 func (e *StaleReadError) Error() string {
-	return fmt.Sprintf("keys were read at revision %d, older than the known revision %d", e.read, e.have)
+	return fmt.Sprintf("keys were read at revision %s, older than the known revision %s", e.read, e.have)
 }
 
 // availableRelay returns the relay to read from, if this instance uses relays and
--- a/follower/replica.go
+++ b/follower/replica.go
@@ -45,7 +45,7 @@
 func (r *Replica) Apply(events []storer.Event) bool {
 	for _, event := range events {
 		if event.Deleted() {
-			if event.Pair().Revision() > r.pairs[event.Pair().Key()].Revision() {
+			if event.Pair().Revision().After(r.pairs[event.Pair().Key()].Revision()) {
 				r.remove(event.Pair().Key())
 			}
 			continue
@@ -56,7 +56,7 @@
 }
 
 func (r *Replica) put(pair storer.Pair) {
-	if pair.Revision() >= r.pairs[pair.Key()].Revision() {
+	if !pair.Revision().Before(r.pairs[pair.Key()].Revision()) {
 		r.pairs[pair.Key()] = pair
 		delete(r.missing, pair.Key())
 	}
@@ -105,7 +105,7 @@
 
 // Stored returns the keys that the store holds at the revision, without the
 // missing ones: other instances may know that these were deleted.
-func (r *Replica) Stored(revision int64) storer.RangeResult {
+func (r *Replica) Stored(revision storer.Revision) storer.RangeResult {
 	pairs := slices.DeleteFunc(r.Pairs(), func(p storer.Pair) bool {
 		_, missing := r.missing[p.Key()]
 		return missing
--- a/follower/replica_test.go
+++ b/follower/replica_test.go
@@ -18,8 +18,11 @@
 	return names
 }
 
-func pair(key, value string, revision int64) storer.Pair {
-	return storer.NewPair(key, []byte(value), revision)
+// revision returns a revision of the first era.
+func revision(number int64) storer.Revision { return storer.NewRevision(0, number) }
+
+func pair(key, value string, number int64) storer.Pair {
+	return storer.NewPair(key, []byte(value), revision(number))
 }
 
 // A key that disappears in an outage is still used by this instance, but not
@@ -44,9 +47,9 @@
 				replica.RetainUntil(time.Now().Add(time.Minute))
 			}
 			replica.Replace([]storer.Pair{pair("b", "1", 2)})
-			c.Assert(replica.Stored(3).Pairs(), qt.HasLen, test.propagated)
+			c.Assert(replica.Stored(revision(3)).Pairs(), qt.HasLen, test.propagated)
 			c.Assert(replica.Pairs(), qt.HasLen, test.usable)
-			c.Assert(replica.Stored(3).IsRecovering(), qt.Equals, test.recovering)
+			c.Assert(replica.Stored(revision(3)).IsRecovering(), qt.Equals, test.recovering)
 		})
 	}
 }
@@ -66,10 +69,10 @@
 			r.Apply([]storer.Event{storer.NewEvent(pair("a", "0", 1))})
 		}, []string{"a=1", "b=1"}},
 		{"a removal", func(r *follower.Replica) {
-			r.Apply([]storer.Event{storer.NewDeletion("a", 11)})
+			r.Apply([]storer.Event{storer.NewDeletion("a", revision(11))})
 		}, []string{"b=1"}},
 		{"an older removal is ignored", func(r *follower.Replica) {
-			r.Apply([]storer.Event{storer.NewDeletion("a", 1)})
+			r.Apply([]storer.Event{storer.NewDeletion("a", revision(1))})
 		}, []string{"a=1", "b=1"}},
 		{"missing in a full read", func(r *follower.Replica) {
 			r.Replace([]storer.Pair{pair("b", "1", 10)})
@@ -86,13 +89,13 @@
 		}, []string{"b=1"}},
 		{"expired during an outage and put again within the grace period", func(r *follower.Replica) {
 			r.RetainUntil(graceEnd)
-			r.Apply([]storer.Event{storer.NewDeletion("a", 11), storer.NewEvent(pair("a", "3", 12))})
+			r.Apply([]storer.Event{storer.NewDeletion("a", revision(11)), storer.NewEvent(pair("a", "3", 12))})
 			r.Expire(graceEnd)
 		}, []string{"a=3", "b=1"}},
 		{"removed after the grace period", func(r *follower.Replica) {
 			r.RetainUntil(graceEnd)
 			r.Expire(graceEnd)
-			r.Apply([]storer.Event{storer.NewDeletion("a", 11)})
+			r.Apply([]storer.Event{storer.NewDeletion("a", revision(11))})
 		}, []string{"b=1"}},
 	}
 	for _, test := range tests {
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/storer"
+
 	"github.com/go-faster/errors"
 )
 
@@ -47,7 +49,7 @@
 }
 
 func (i *Gossiper) send(records []record, peers ...peer) {
-	data, err := encode(i.hash, max(i.hooks.current(), i.knownRevision.Load()), records)
+	data, err := encode(i.hash, storer.LatestRevision(i.hooks.current(), i.knownRevision.Load()), records)
 	if err != nil {
 		i.log.Error().Err(err).Msg("datagram could not be made")
 		return
@@ -83,8 +85,8 @@
 }
 
 func (i *Gossiper) apply(from header, records []record) {
-	i.hooks.observed(from.Revision)
-	storeMax(&i.knownRevision, from.Revision)
+	i.hooks.observed(from.revision())
+	i.knownRevision.Advance(from.revision())
 	now := i.now()
 	i.markSeen(from.Sender, now)
 	v := i.view.Load()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"burdocklane/healthchecker"
 	"burdocklane/publisher"
 	"burdocklane/registrar"
+	"burdocklane/storer"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
@@ -47,13 +48,13 @@
 // returns the revision that this instance has, and observed gets the revision of
 // each received datagram, which may be later.
 type RevisionHooks struct {
-	current  func() int64
-	observed func(int64)
+	current  func() storer.Revision
+	observed func(storer.Revision)
 }
 
 // NewRevisionHooks returns the hooks that read the store's revision and observe the revisions
 // of peers.
-func NewRevisionHooks(current func() int64, observed func(int64)) RevisionHooks {
+func NewRevisionHooks(current func() storer.Revision, observed func(storer.Revision)) RevisionHooks {
 	return RevisionHooks{current: current, observed: observed}
 }
 
@@ -71,8 +72,8 @@
 	liveInstances atomic.Pointer[[]registrar.Instance]
 	heartbeatAt   time.Duration // Used by the run goroutine alone, as is roleTable.
 	roleTable     *roleTable
-	knownRevision atomic.Int64 // The latest store revision that a peer has sent.
-	lastSeen      sync.Map     // From an instance's hash to *atomic.Int64, when it was last known to be alive.
+	knownRevision storer.RevisionMark // The latest store revision that a peer has sent.
+	lastSeen      sync.Map            // From an instance's hash to *atomic.Int64, when it was last known to be alive.
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
 }
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -7,21 +7,25 @@
 	"time"
 
 	"burdocklane/decoder"
+	"burdocklane/storer"
 	"burdocklane/tracker"
 )
 
 // A datagram holds a header and a list of records, in network byte order.
 
-const formatVersion = 1
+const formatVersion = 2
 
 type header struct {
 	Version uint8
 	Count   uint8
 	Sender  uint32 // Hash of the sending instance's ID.
-	// Revision is the latest store revision that the sender knows.
+	// Era and Revision are the latest store revision that the sender knows.
+	Era      int64
 	Revision int64
 }
 
+func (h header) revision() storer.Revision { return storer.NewRevision(h.Era, h.Revision) }
+
 // record holds the sender's number of calls at a worker, with the worker's load
 // report or the fact that it did not answer. A record of a peer holds the time since
 // its last datagram.
@@ -64,9 +68,11 @@
 	return record{Worker: peer, Flags: flagPeer, AgeMs: clampUint8(ago.Milliseconds())}
 }
 
-func encode(sender uint32, revision int64, records []record) ([]byte, error) {
+func encode(sender uint32, revision storer.Revision, records []record) ([]byte, error) {
 	records = records[:min(len(records), maxRecords)]
-	data, err := decoder.Append(nil, header{Version: formatVersion, Count: uint8(len(records)), Sender: sender, Revision: revision})
+	data, err := decoder.Append(nil, header{
+		Version: formatVersion, Count: uint8(len(records)), Sender: sender, Era: revision.Era(), Revision: revision.Number(),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/gossiper/message_test.go
+++ b/gossiper/message_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocklane/decoder"
+	"burdocklane/storer"
 	"burdocklane/tracker"
 
 	qt "github.com/frankban/quicktest"
@@ -25,12 +26,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			data, err := encode(5, 77, test.records)
+			data, err := encode(5, storer.NewRevision(2, 77), test.records)
 			c.Assert(err, qt.IsNil)
 			from, got, err := decode(data)
 			c.Assert(err, qt.IsNil)
 			c.Assert(from.Sender, qt.Equals, uint32(5))
-			c.Assert(from.Revision, qt.Equals, int64(77))
+			c.Assert(from.revision(), qt.Equals, storer.NewRevision(2, 77))
 			c.Assert(got, qt.DeepEquals, test.records)
 			_, _, err = decode(data[:len(data)-1])
 			var bad *decoder.DatagramError
@@ -50,7 +51,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	data, err := encode(1, 2, []record{{Worker: 3}})
+	data, err := encode(1, storer.NewRevision(1, 2), []record{{Worker: 3}})
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/gossiper/update_test.go
+++ b/gossiper/update_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocklane/registrar"
+	"burdocklane/storer"
 	"burdocklane/tracker"
 
 	qt "github.com/frankban/quicktest"
@@ -102,18 +103,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			local, other := peerOf("a1", "a"), peerOf("b1", "b")
-			var observed int64
-			i := &Gossiper{started: time.Now().Add(-time.Minute), hooks: NewRevisionHooks(nil, func(r int64) { observed = r })}
+			var observed storer.Revision
+			i := &Gossiper{started: time.Now().Add(-time.Minute), hooks: NewRevisionHooks(nil, func(r storer.Revision) { observed = r })}
 			v := &view{coordinators: []peer{local, other}}
 			i.view.Store(v)
 			var records []record
 			if test.ago < peerTimeout {
 				records = append(records, peerRecord(other.hash, test.ago))
 			}
-			i.apply(header{Sender: local.hash, Revision: 7}, records)
+			i.apply(header{Sender: local.hash, Era: 2, Revision: 7}, records)
 			c.Assert(i.live(v), qt.HasLen, test.live)
-			c.Assert(observed, qt.Equals, int64(7))
-			c.Assert(i.knownRevision.Load(), qt.Equals, int64(7))
+			c.Assert(observed, qt.Equals, storer.NewRevision(2, 7))
+			c.Assert(i.knownRevision.Load(), qt.Equals, storer.NewRevision(2, 7))
 		})
 	}
 }
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -122,10 +122,10 @@
 	}
 }
 
-func (r *Registrant) write(ctx context.Context) (int64, error) {
+func (r *Registrant) write(ctx context.Context) (storer.Lease, error) {
 	lease, err := storer.Grant(ctx, r.store, leaseTTL)
 	if err != nil {
-		return 0, err
+		return storer.Lease{}, err
 	}
 	var txn storer.Txn
 	txn.PutLeased(r.key, r.value, lease)
@@ -138,7 +138,7 @@
 }
 
 // renewLease renews the lease until it has expired or the entry is missing.
-func (r *Registrant) renewLease(ctx context.Context, lease int64) {
+func (r *Registrant) renewLease(ctx context.Context, lease storer.Lease) {
 	for r.awaitRenewal(ctx) {
 		alive, err := storer.KeepAlive(ctx, r.store, lease)
 		if err != nil {
--- a/relayer/fallback_test.go
+++ b/relayer/fallback_test.go
@@ -29,7 +29,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			selector := NewSelector(self, func() int64 { return 0 }, func() []registrar.Instance { return nil })
+			selector := NewSelector(self, func() storer.Revision { return storer.Revision{} }, func() []registrar.Instance { return nil })
 			defer selector.Close()
 			selector.UpdateInstances(test.instances)
 			var got []string
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -4,10 +4,12 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,6 +42,7 @@
 	pathKeys    = "/relay/keys"
 	pathChanges = "/relay/changes"
 
+	queryMinEra      = "least-era"
 	queryMinRevision = "least-revision"
 	queryCursor      = "cursor"
 	queryIncarnation = "incarnation"
@@ -111,20 +114,31 @@
 
 // serveKeys responds with all keys, once their revision is at least the client's.
 func (r *Relay) serveKeys(w http.ResponseWriter, request *http.Request) {
-	minRevision, err := strconv.ParseInt(request.URL.Query().Get(queryMinRevision), 10, 64)
+	minRevision, err := parseMinRevision(request.URL.Query())
 	if err != nil {
 		http.Error(w, "no revision", http.StatusBadRequest)
 		return
 	}
 	r.waitFor(request.Context(), takeoverTimeout, func(*snapshot) bool { return r.serves() })
-	current := r.waitFor(request.Context(), catchUpTimeout, func(s *snapshot) bool { return s.revision >= minRevision || !r.serves() })
-	if !r.serves() || current.revision < minRevision {
+	current := r.waitFor(request.Context(), catchUpTimeout, func(s *snapshot) bool { return !s.revision.Before(minRevision) || !r.serves() })
+	if !r.serves() || current.revision.Before(minRevision) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	respond(w, current.message(r.incarnation))
 }
 
+// parseMinRevision returns the revision that the client knows already. Its number is
+// of the first era if the query names none.
+func parseMinRevision(query url.Values) (storer.Revision, error) {
+	era, err := strconv.ParseInt(cmp.Or(query.Get(queryMinEra), "0"), 10, 64)
+	if err != nil {
+		return storer.Revision{}, err
+	}
+	number, err := strconv.ParseInt(query.Get(queryMinRevision), 10, 64)
+	return storer.NewRevision(era, number), err
+}
+
 // serveChanges responds with the changes after a cursor, as soon as there are any.
 func (r *Relay) serveChanges(w http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -16,11 +16,14 @@
 	"go.uber.org/goleak"
 )
 
-func pairs(revisions ...int64) []storer.Pair {
-	all := make([]storer.Pair, 0, len(revisions))
-	for i, revision := range revisions {
-		if revision > 0 {
-			all = append(all, storer.NewPair(fmt.Sprintf("key-%d", i), []byte("value"), revision))
+// revision returns a revision of the first era.
+func revision(number int64) storer.Revision { return storer.NewRevision(0, number) }
+
+func pairs(numbers ...int64) []storer.Pair {
+	all := make([]storer.Pair, 0, len(numbers))
+	for i, number := range numbers {
+		if number > 0 {
+			all = append(all, storer.NewPair(fmt.Sprintf("key-%d", i), []byte("value"), revision(number)))
 		}
 	}
 	return all
@@ -43,8 +46,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			first := newSnapshot().next(storer.NewRangeResult(test.before, 10))
-			second := first.next(storer.NewRangeResult(test.after, 11))
+			first := newSnapshot().next(storer.NewRangeResult(test.before, revision(10)))
+			second := first.next(storer.NewRangeResult(test.after, revision(11)))
 			m, ok := second.changesSince(first.cursor)
 			c.Assert(ok, qt.IsTrue)
 			c.Assert(m.Revision, qt.Equals, int64(11))
@@ -65,9 +68,9 @@
 // keys once more, as missing keys may be put again.
 func TestChangesAcrossAnOutage(t *testing.T) {
 	c := qt.New(t)
-	before := newSnapshot().next(storer.NewRangeResult(pairs(1, 2), 2))
-	recovered := before.next(storer.NewRangeResult(pairs(1), 3).WithRecovering(true))
-	later := recovered.next(storer.NewRangeResult(pairs(1, 4), 4).WithRecovering(true))
+	before := newSnapshot().next(storer.NewRangeResult(pairs(1, 2), revision(2)))
+	recovered := before.next(storer.NewRangeResult(pairs(1), revision(3)).WithRecovering(true))
+	later := recovered.next(storer.NewRangeResult(pairs(1, 4), revision(4)).WithRecovering(true))
 	tests := []struct {
 		name   string
 		cursor int64
@@ -92,8 +95,8 @@
 	c := qt.New(t)
 	s := newSnapshot()
 	for i := range maxRemovals + 2 {
-		s = s.next(storer.NewRangeResult(pairs(int64(2*i+1)), int64(2*i+1)))
-		s = s.next(storer.NewRangeResult(nil, int64(2*i+2)))
+		s = s.next(storer.NewRangeResult(pairs(int64(2*i+1)), revision(int64(2*i+1))))
+		s = s.next(storer.NewRangeResult(nil, revision(int64(2*i+2))))
 	}
 	_, ok := s.changesSince(1)
 	c.Assert(ok, qt.IsFalse)
@@ -127,17 +130,17 @@
 			c.Assert(err, qt.IsNil)
 			defer r.Close()
 			if test.published > 0 {
-				r.Publish(storer.NewRangeResult(pairs(test.published), test.published))
+				r.Publish(storer.NewRangeResult(pairs(test.published), revision(test.published)))
 			}
 			if test.suspended {
 				r.Suspend()
 			}
 			client := newClient()
 			defer client.CloseIdleConnections()
-			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() int64 { return test.minRevision }), "")
+			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() storer.Revision { return revision(test.minRevision) }), "")
 			c.Assert(err == nil, qt.Equals, test.serves)
 			if test.serves {
-				c.Assert(result.Revision(), qt.Equals, test.published)
+				c.Assert(result.Revision(), qt.Equals, revision(test.published))
 				c.Assert(result.Pairs(), qt.HasLen, 1)
 			}
 		})
@@ -152,24 +155,24 @@
 	r, err := New(anyAddress, followsStore.Load, zerolog.Nop())
 	c.Assert(err, qt.IsNil)
 	defer r.Close()
-	r.Publish(storer.NewRangeResult(pairs(1, 2), 2))
+	r.Publish(storer.NewRangeResult(pairs(1, 2), revision(2)))
 	client := newClient()
 	defer client.CloseIdleConnections()
-	source := newSource(client, r.Address(), func() int64 { return 0 })
+	source := newSource(client, r.Address(), func() storer.Revision { return storer.Revision{} })
 	result, err := storer.Range(context.Background(), source, "")
 	c.Assert(err, qt.IsNil)
 	batches := make(chan storer.Batch, 8)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- storer.Watch(context.Background(), source, "", result.Revision()+1, func(b storer.Batch) {
+		ended <- storer.Watch(context.Background(), source, "", result.Revision(), func(b storer.Batch) {
 			if len(b.Events()) > 0 {
 				batches <- b
 			}
 		})
 	}()
-	r.Publish(storer.NewRangeResult(pairs(0, 3), 4))
+	r.Publish(storer.NewRangeResult(pairs(0, 3), revision(4)))
 	b := <-batches
-	c.Assert(b.Revision(), qt.Equals, int64(4))
+	c.Assert(b.Revision(), qt.Equals, revision(4))
 	c.Assert(b.Events(), qt.HasLen, 2)
 	c.Assert(b.Events()[0].Deleted(), qt.IsTrue)
 	followsStore.Store(false)
@@ -187,16 +190,16 @@
 		r, err := New(anyAddress, func() bool { return true }, zerolog.Nop())
 		c.Assert(err, qt.IsNil)
 		defer r.Close()
-		r.Publish(storer.NewRangeResult(pairs(int64(i+1)), int64(i+1)))
+		r.Publish(storer.NewRangeResult(pairs(int64(i+1)), revision(int64(i+1))))
 		relays[i] = r
 	}
 	client := newClient()
 	defer client.CloseIdleConnections()
-	s := &source{base: "http://" + relays[0].Address(), client: client, knownRevision: func() int64 { return 0 }}
+	s := &source{base: "http://" + relays[0].Address(), client: client, knownRevision: func() storer.Revision { return storer.Revision{} }}
 	_, err := s.readRange(context.Background(), "")
 	c.Assert(err, qt.IsNil)
 	s.base = "http://" + relays[1].Address()
-	_, err = s.poll(context.Background(), "", 1)
+	_, err = s.poll(context.Background(), "", revision(1))
 	var compacted *storer.CompactedError
 	c.Assert(errors.As(err, &compacted), qt.IsTrue)
 }
@@ -208,14 +211,14 @@
 	var followsStore atomic.Bool
 	r := &Relay{incarnation: "i", followsStore: followsStore.Load, ctx: context.Background()}
 	r.keys.Store(newSnapshot())
-	r.Publish(storer.NewRangeResult(pairs(1), 1))
+	r.Publish(storer.NewRangeResult(pairs(1), revision(1)))
 	served := make(chan bool, 1)
 	go func() {
 		r.waitFor(context.Background(), time.Hour, func(*snapshot) bool { return r.serves() })
 		served <- r.serves()
 	}()
 	followsStore.Store(true)
-	r.Publish(storer.NewRangeResult(pairs(2), 2))
+	r.Publish(storer.NewRangeResult(pairs(2), revision(2)))
 	c.Assert(<-served, qt.IsTrue)
 }
 
@@ -244,7 +247,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			selector := NewSelector(test.self, func() int64 { return 0 }, func() []registrar.Instance { return test.live })
+			selector := NewSelector(test.self, func() storer.Revision { return storer.Revision{} }, func() []registrar.Instance { return test.live })
 			defer selector.Close()
 			c.Assert(selector.UpdateInstances(instances), qt.Equals, test.isRelay)
 			c.Assert(selector.UsesRelays(), qt.Equals, test.usesRelays)
@@ -264,8 +267,8 @@
 	c := qt.New(t)
 	r := &Relay{incarnation: "i", followsStore: func() bool { return true }, ctx: context.Background()}
 	r.keys.Store(newSnapshot())
-	r.Publish(storer.NewRangeResult(pairs(1), 1))
+	r.Publish(storer.NewRangeResult(pairs(1), revision(1)))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
 	defer cancel()
-	c.Assert(r.waitFor(ctx, time.Minute, func(*snapshot) bool { return false }).revision, qt.Equals, int64(1))
+	c.Assert(r.waitFor(ctx, time.Minute, func(*snapshot) bool { return false }).revision, qt.Equals, revision(1))
 }
--- a/relayer/selector.go
+++ b/relayer/selector.go
@@ -19,7 +19,7 @@
 // all other instances of the zone.
 type Selector struct {
 	self          registrar.Instance
-	knownRevision func() int64
+	knownRevision func() storer.Revision
 	client        *http.Client
 	relays        atomic.Pointer[[]registrar.Instance] // Those that this instance may read from, in order of preference.
 	lastSelected  atomic.Value                         // The registrar.InstanceID of the relay that Next returned last.
@@ -31,7 +31,7 @@
 // NewSelector returns a selector for the instance self: knownRevision returns the
 // store's revision that its keys have reached, and live the coordinators that are
 // live.
-func NewSelector(self registrar.Instance, knownRevision func() int64, live func() []registrar.Instance) *Selector {
+func NewSelector(self registrar.Instance, knownRevision func() storer.Revision, live func() []registrar.Instance) *Selector {
 	s := &Selector{self: self, knownRevision: knownRevision, live: live, client: newClient()}
 	s.relays.Store(&[]registrar.Instance{})
 	s.instances.Store(&[]registrar.Instance{})
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -10,8 +10,8 @@
 // snapshot is the state that a relay serves: the keys, and the recent removals. It
 // is immutable.
 type snapshot struct {
-	cursor   int64 // Grows with every change.
-	revision int64 // The store's revision.
+	cursor   int64           // Grows with every change.
+	revision storer.Revision // The store's revision.
 	// recovering reports that the store was unreachable until recently, so that
 	// keys which are missing may be put again.
 	recovering      bool
@@ -29,7 +29,7 @@
 
 type removal struct {
 	key      string
-	revision int64
+	revision storer.Revision
 	cursor   int64
 }
 
@@ -75,7 +75,7 @@
 // changesSince returns the changes after the cursor, and false if they are no
 // longer available.
 func (s *snapshot) changesSince(cursor int64) (changesMessage, bool) {
-	m := changesMessage{Cursor: s.cursor, Revision: s.revision}
+	m := changesMessage{Cursor: s.cursor, Era: s.revision.Era(), Revision: s.revision.Number()}
 	if cursor < s.compactedCursor || cursor > s.cursor {
 		return m, false
 	}
@@ -86,7 +86,7 @@
 	}
 	for _, r := range s.removed {
 		if r.cursor > cursor {
-			m.Removed = append(m.Removed, removalMessage{Key: r.key, Revision: r.revision})
+			m.Removed = append(m.Removed, removalMessage{Key: r.key, Era: r.revision.Era(), Revision: r.revision.Number()})
 		}
 	}
 	return m, true
@@ -94,7 +94,10 @@
 
 // message returns the message with all keys.
 func (s *snapshot) message(incarnation string) snapshotMessage {
-	m := snapshotMessage{Incarnation: incarnation, Cursor: s.cursor, Revision: s.revision, Recovering: s.recovering, Pairs: make([]pairMessage, 0, len(s.pairs))}
+	m := snapshotMessage{
+		Incarnation: incarnation, Cursor: s.cursor, Era: s.revision.Era(), Revision: s.revision.Number(),
+		Recovering: s.recovering, Pairs: make([]pairMessage, 0, len(s.pairs)),
+	}
 	for _, n := range s.pairs {
 		m.Pairs = append(m.Pairs, newPairMessage(n.pair))
 	}
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -21,7 +21,7 @@
 type source struct {
 	base          string
 	client        *http.Client
-	knownRevision func() int64
+	knownRevision func() storer.Revision
 	incarnation   string // Of the relay. Used only by the follower's goroutine, as is the cursor.
 	cursor        int64
 }
@@ -33,14 +33,18 @@
 // newSource returns a store that reads from the relay at host:port. The relay is
 // asked for keys at knownRevision or later. The source must not be used
 // concurrently.
-func newSource(client *http.Client, address string, knownRevision func() int64) *storer.Remote {
+func newSource(client *http.Client, address string, knownRevision func() storer.Revision) *storer.Remote {
 	s := &source{base: "http://" + address, client: client, knownRevision: knownRevision}
 	return storer.NewRemote(storer.WithName("relay "+address), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
 }
 
 func (s *source) readRange(ctx context.Context, _ string) (storer.RangeResult, error) {
 	var m snapshotMessage
-	query := url.Values{queryMinRevision: {strconv.FormatInt(s.knownRevision(), 10)}}
+	known := s.knownRevision()
+	query := url.Values{
+		queryMinEra:      {strconv.FormatInt(known.Era(), 10)},
+		queryMinRevision: {strconv.FormatInt(known.Number(), 10)},
+	}
 	if err := s.get(ctx, pathKeys, query, catchUpTimeout, &m); err != nil {
 		return storer.RangeResult{}, err
 	}
@@ -48,7 +52,7 @@
 	return m.rangeResult(), nil
 }
 
-func (s *source) poll(ctx context.Context, _ string, _ int64) (storer.Batch, error) {
+func (s *source) poll(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
 	var m changesMessage
 	query := url.Values{queryCursor: {strconv.FormatInt(s.cursor, 10)}, queryIncarnation: {s.incarnation}}
 	if err := s.get(ctx, pathChanges, query, longPollTimeout, &m); err != nil {
--- a/storer/gateway.go
+++ b/storer/gateway.go
@@ -79,7 +79,7 @@
 	if err := call(ctx, g, "range", "/v3/kv/range", request, &response); err != nil {
 		return RangeResult{}, err
 	}
-	result := RangeResult{revision: response.Header.Revision, pairs: make([]Pair, 0, len(response.Kvs))}
+	result := RangeResult{revision: etcdRevision(response.Header.Revision), pairs: make([]Pair, 0, len(response.Kvs))}
 	for _, kv := range response.Kvs {
 		result.pairs = append(result.pairs, kv.pair())
 	}
@@ -87,7 +87,7 @@
 }
 
 func (kv keyValue) pair() Pair {
-	return Pair{key: string(kv.Key), value: kv.Value, revision: kv.ModRevision}
+	return Pair{key: string(kv.Key), value: kv.Value, revision: etcdRevision(kv.ModRevision)}
 }
 
 func (g *Gateway) commit(ctx context.Context, t Txn) (TxnResult, error) {
@@ -95,7 +95,7 @@
 	var request txnRequest
 	for _, c := range t.compares {
 		request.Compare = append(request.Compare, compareMessage{
-			Key: []byte(c.key), Target: "MOD", Result: "EQUAL", ModRevision: c.revision,
+			Key: []byte(c.key), Target: "MOD", Result: "EQUAL", ModRevision: c.revision.Number(),
 		})
 	}
 	for _, w := range t.writes {
@@ -105,33 +105,33 @@
 	if err := call(ctx, g, "txn", "/v3/kv/txn", request, &response); err != nil {
 		return TxnResult{}, err
 	}
-	return TxnResult{succeeded: response.Succeeded, revision: response.Header.Revision}, nil
+	return TxnResult{succeeded: response.Succeeded, revision: etcdRevision(response.Header.Revision)}, nil
 }
 
 func (w write) message() requestOp {
 	if w.deleted {
 		return requestOp{RequestDeleteRange: &deleteRangeRequest{Key: []byte(w.key)}}
 	}
-	return requestOp{RequestPut: &putRequest{Key: []byte(w.key), Value: w.value, Lease: w.lease}}
+	return requestOp{RequestPut: &putRequest{Key: []byte(w.key), Value: w.value, Lease: w.lease.ID()}}
 }
 
-func (g *Gateway) grant(ctx context.Context, ttl time.Duration) (int64, error) {
+func (g *Gateway) grant(ctx context.Context, ttl time.Duration) (Lease, error) {
 	g.writes.Add(1)
 	var response leaseResponse
 	err := call(ctx, g, "lease grant", "/v3/lease/grant", leaseGrantRequest{TTL: int64(ttl.Seconds())}, &response)
-	return response.ID, err
+	return etcdLease(response.ID), err
 }
 
-func (g *Gateway) keepAlive(ctx context.Context, id int64) (bool, error) {
+func (g *Gateway) keepAlive(ctx context.Context, lease Lease) (bool, error) {
 	g.writes.Add(1)
 	var response leaseKeepAliveResponse
-	err := call(ctx, g, "lease keepalive", "/v3/lease/keepalive", leaseRequest{ID: id}, &response)
+	err := call(ctx, g, "lease keepalive", "/v3/lease/keepalive", leaseRequest{ID: lease.ID()}, &response)
 	return response.Result.TTL > 0, err
 }
 
-func (g *Gateway) revoke(ctx context.Context, id int64) error {
+func (g *Gateway) revoke(ctx context.Context, lease Lease) error {
 	g.writes.Add(1)
-	return call(ctx, g, "lease revoke", "/v3/lease/revoke", leaseRequest{ID: id}, &leaseResponse{})
+	return call(ctx, g, "lease revoke", "/v3/lease/revoke", leaseRequest{ID: lease.ID()}, &leaseResponse{})
 }
 
 // call posts a request and decodes the response into result.
@@ -179,10 +179,10 @@
 }
 
 // watch reads the stream of a watch until an error.
-func (g *Gateway) watch(ctx context.Context, prefix string, from int64, receive func(Batch)) error {
+func (g *Gateway) watch(ctx context.Context, prefix string, after Revision, receive func(Batch)) error {
 	g.reads.Add(1)
 	request := watchRequest{CreateRequest: watchCreateRequest{
-		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: from,
+		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: after.Number() + 1,
 	}}
 	response, err := post(ctx, g, "watch", "/v3/watch", request)
 	if err != nil {
@@ -197,7 +197,7 @@
 		}
 		result := message.Result
 		if result.CompactRevision > 0 {
-			return &CompactedError{revision: result.CompactRevision}
+			return &CompactedError{revision: etcdRevision(result.CompactRevision)}
 		}
 		if result.Canceled {
 			return errors.New("store: watch was cancelled")
@@ -209,7 +209,7 @@
 }
 
 func newBatch(result watchResult) Batch {
-	batch := Batch{revision: result.Header.Revision}
+	batch := Batch{revision: etcdRevision(result.Header.Revision)}
 	for _, e := range result.Events {
 		batch.events = append(batch.events, Event{pair: e.Kv.pair(), deleted: e.Type == deleteEvent})
 	}
--- a/storer/memory.go
+++ b/storer/memory.go
@@ -22,7 +22,7 @@
 	leases            map[int64]*lease
 	nextLease         int64
 	history           []Batch
-	compactedRevision int64
+	compactedRevision Revision
 	changed           chan struct{}
 }
 
@@ -47,7 +47,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.expireLeasesLocked()
-	result := RangeResult{revision: m.revision}
+	result := RangeResult{revision: etcdRevision(m.revision)}
 	for key, pair := range m.pairs {
 		if strings.HasPrefix(key, prefix) {
 			result.pairs = append(result.pairs, pair)
@@ -64,16 +64,16 @@
 	m.expireLeasesLocked()
 	for _, c := range t.compares {
 		if m.pairs[c.key].revision != c.revision {
-			return TxnResult{revision: m.revision}
+			return TxnResult{revision: etcdRevision(m.revision)}
 		}
 	}
 	for _, w := range t.writes {
-		if w.lease != 0 && m.leases[w.lease] == nil {
-			return TxnResult{revision: m.revision}
+		if !w.lease.IsZero() && m.leases[w.lease.ID()] == nil {
+			return TxnResult{revision: etcdRevision(m.revision)}
 		}
 	}
 	m.applyLocked(t.writes)
-	return TxnResult{succeeded: true, revision: m.revision}
+	return TxnResult{succeeded: true, revision: etcdRevision(m.revision)}
 }
 
 // applyLocked applies the writes as one batch. The caller must hold the mutex.
@@ -82,17 +82,17 @@
 		return
 	}
 	m.revision++
-	batch := Batch{revision: m.revision}
+	batch := Batch{revision: etcdRevision(m.revision)}
 	for _, w := range writes {
-		pair := Pair{key: w.key, value: w.value, revision: m.revision}
+		pair := Pair{key: w.key, value: w.value, revision: batch.revision}
 		delete(m.keyLeases, w.key)
 		if w.deleted {
 			delete(m.pairs, w.key)
 		} else {
 			m.pairs[w.key] = pair
 		}
-		if w.lease != 0 {
-			m.keyLeases[w.key] = w.lease
+		if !w.lease.IsZero() {
+			m.keyLeases[w.key] = w.lease.ID()
 		}
 		batch.events = append(batch.events, Event{pair: pair, deleted: w.deleted})
 	}
@@ -105,17 +105,17 @@
 	m.changed = make(chan struct{})
 }
 
-// Watch calls receive with the batches from the revision on, until the context ends
-// or the revision is compacted.
-func (m *Memory) Watch(ctx context.Context, prefix string, from int64, receive func(Batch)) error {
+// Watch calls receive with the batches after the revision, until the context ends
+// or the history after it is compacted.
+func (m *Memory) Watch(ctx context.Context, prefix string, after Revision, receive func(Batch)) error {
 	for {
-		batches, changed, err := m.batchesSince(prefix, from)
+		batches, changed, err := m.batchesSince(prefix, after)
 		if err != nil {
 			return err
 		}
 		for _, batch := range batches {
 			receive(batch)
-			from = batch.revision + 1
+			after = batch.revision
 		}
 		if len(batches) > 0 {
 			continue
@@ -128,15 +128,15 @@
 	}
 }
 
-func (m *Memory) batchesSince(prefix string, from int64) ([]Batch, <-chan struct{}, error) {
+func (m *Memory) batchesSince(prefix string, after Revision) ([]Batch, <-chan struct{}, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if from <= m.compactedRevision {
+	if after.Before(m.compactedRevision) {
 		return nil, nil, &CompactedError{revision: m.compactedRevision}
 	}
 	var batches []Batch
 	for _, b := range m.history {
-		if b.revision < from {
+		if !b.revision.After(after) {
 			continue
 		}
 		if filtered := b.filterPrefix(prefix); len(filtered.events) > 0 {
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -12,13 +12,13 @@
 type Remote struct {
 	name       string
 	readRange  func(ctx context.Context, prefix string) (RangeResult, error)
-	poll       func(ctx context.Context, prefix string, after int64) (Batch, error)
+	poll       func(ctx context.Context, prefix string, after Revision) (Batch, error)
 	batchDelay time.Duration
-	probe      func(ctx context.Context) (int64, error)
+	probe      func(ctx context.Context) (Revision, error)
 	commitTxn  func(ctx context.Context, t Txn) (TxnResult, error)
-	grant      func(ctx context.Context, ttl time.Duration) (int64, error)
-	keepAlive  func(ctx context.Context, lease int64) (bool, error)
-	revoke     func(ctx context.Context, lease int64) error
+	grant      func(ctx context.Context, ttl time.Duration) (Lease, error)
+	keepAlive  func(ctx context.Context, lease Lease) (bool, error)
+	revoke     func(ctx context.Context, lease Lease) error
 }
 
 // RemoteOption sets one operation of a Remote.
@@ -36,13 +36,13 @@
 // poll: its batch is empty if there are none before its timeout. After each batch
 // of changes the watch pauses for batchDelay, so that changes that come shortly
 // after each other cost one call.
-func WithPoll(poll func(ctx context.Context, prefix string, after int64) (Batch, error), batchDelay time.Duration) RemoteOption {
+func WithPoll(poll func(ctx context.Context, prefix string, after Revision) (Batch, error), batchDelay time.Duration) RemoteOption {
 	return func(r *Remote) { r.poll, r.batchDelay = poll, batchDelay }
 }
 
 // WithProbe sets the function that reads the store's revision at a low price. The
 // revision may be some seconds old.
-func WithProbe(probe func(ctx context.Context) (int64, error)) RemoteOption {
+func WithProbe(probe func(ctx context.Context) (Revision, error)) RemoteOption {
 	return func(r *Remote) { r.probe = probe }
 }
 
@@ -53,9 +53,9 @@
 
 // WithLeases sets the functions that grant, renew and revoke leases.
 func WithLeases(
-	grant func(ctx context.Context, ttl time.Duration) (int64, error),
-	keepAlive func(ctx context.Context, lease int64) (bool, error),
-	revoke func(ctx context.Context, lease int64) error,
+	grant func(ctx context.Context, ttl time.Duration) (Lease, error),
+	keepAlive func(ctx context.Context, lease Lease) (bool, error),
+	revoke func(ctx context.Context, lease Lease) error,
 ) RemoteOption {
 	return func(r *Remote) { r.grant, r.keepAlive, r.revoke = grant, keepAlive, revoke }
 }
@@ -71,8 +71,7 @@
 
 // watch polls until an error. It calls receive with each batch, also with an empty
 // one, which shows that the store is reachable.
-func (r *Remote) watch(ctx context.Context, prefix string, from int64, receive func(Batch)) error {
-	after := from - 1
+func (r *Remote) watch(ctx context.Context, prefix string, after Revision, receive func(Batch)) error {
 	batchDelay := r.batchDelay
 	for {
 		start := time.Now()
@@ -81,7 +80,7 @@
 			return err
 		}
 		receive(batch)
-		after = max(after, batch.Revision())
+		after = LatestRevision(after, batch.Revision())
 		batchDelay = r.nextBatchDelay(batchDelay, time.Since(start))
 		if len(batch.Events()) > 0 && !sleeper.Sleep(ctx, batchDelay) {
 			return ctx.Err()
@@ -102,17 +101,17 @@
 }
 
 // Compare is a condition of a transaction: the key was last changed at the
-// revision, or does not exist if that is 0.
+// revision, or does not exist if that is the zero value.
 type Compare struct {
 	key      string
-	revision int64
+	revision Revision
 }
 
 // Key returns the key.
 func (c Compare) Key() string { return c.key }
 
 // Revision returns the revision that the key must have.
-func (c Compare) Revision() int64 { return c.revision }
+func (c Compare) Revision() Revision { return c.revision }
 
 // Write is a change that a transaction makes.
 type Write struct{ write write }
@@ -123,8 +122,8 @@
 // Value returns the new value.
 func (w Write) Value() []byte { return w.write.value }
 
-// Lease returns the ID of the lease that the key is attached to, or 0.
-func (w Write) Lease() int64 { return w.write.lease }
+// Lease returns the lease that the key is attached to, or the zero value.
+func (w Write) Lease() Lease { return w.write.lease }
 
 // IsDelete reports whether the key is removed.
 func (w Write) IsDelete() bool { return w.write.deleted }
--- a/storer/serve.go
+++ b/storer/serve.go
@@ -38,7 +38,7 @@
 
 func (m *Memory) serveRange(request rangeRequest) rangeResponse {
 	result := m.Range(string(request.Key))
-	response := rangeResponse{Header: responseHeader{Revision: result.revision}, Count: int64(len(result.pairs))}
+	response := rangeResponse{Header: responseHeader{Revision: result.revision.Number()}, Count: int64(len(result.pairs))}
 	for _, pair := range result.pairs {
 		response.Kvs = append(response.Kvs, pair.message())
 	}
@@ -46,24 +46,24 @@
 }
 
 func (p Pair) message() keyValue {
-	return keyValue{Key: []byte(p.key), Value: p.value, ModRevision: p.revision}
+	return keyValue{Key: []byte(p.key), Value: p.value, ModRevision: p.revision.Number()}
 }
 
 func (m *Memory) serveTxn(request txnRequest) txnResponse {
 	var t Txn
 	for _, c := range request.Compare {
-		t.Compare(string(c.Key), c.ModRevision)
+		t.Compare(string(c.Key), etcdRevision(c.ModRevision))
 	}
 	for _, op := range request.Success {
 		switch {
 		case op.RequestPut != nil:
-			t.PutLeased(string(op.RequestPut.Key), op.RequestPut.Value, op.RequestPut.Lease)
+			t.PutLeased(string(op.RequestPut.Key), op.RequestPut.Value, etcdLease(op.RequestPut.Lease))
 		case op.RequestDeleteRange != nil:
 			t.Delete(string(op.RequestDeleteRange.Key))
 		}
 	}
 	result := m.Commit(t)
-	return txnResponse{Header: responseHeader{Revision: result.revision}, Succeeded: result.succeeded}
+	return txnResponse{Header: responseHeader{Revision: result.revision.Number()}, Succeeded: result.succeeded}
 }
 
 func (m *Memory) serveGrant(request leaseGrantRequest) leaseResponse {
@@ -92,20 +92,20 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	create := request.CreateRequest
-	from := create.StartRevision
-	if from == 0 {
-		from = m.Range(string(create.Key)).revision + 1
+	after := etcdRevision(create.StartRevision - 1)
+	if create.StartRevision == 0 {
+		after = m.Range(string(create.Key)).revision
 	}
 	send(watchResult{Created: true})
-	err := m.Watch(r.Context(), string(create.Key), from, func(b Batch) { send(b.message()) })
+	err := m.Watch(r.Context(), string(create.Key), after, func(b Batch) { send(b.message()) })
 	var compacted *CompactedError
 	if errors.As(err, &compacted) {
-		send(watchResult{Canceled: true, CompactRevision: compacted.revision + 1})
+		send(watchResult{Canceled: true, CompactRevision: compacted.revision.Number() + 1})
 	}
 }
 
 func (b Batch) message() watchResult {
-	result := watchResult{Header: responseHeader{Revision: b.revision}}
+	result := watchResult{Header: responseHeader{Revision: b.revision.Number()}}
 	for _, e := range b.events {
 		message := eventMessage{Kv: e.pair.message()}
 		if e.deleted {
--- a/storer/store.go
+++ b/storer/store.go
@@ -21,11 +21,11 @@
 type Pair struct {
 	key      string
 	value    []byte
-	revision int64
+	revision Revision
 }
 
 // NewPair returns a pair as the store holds it.
-func NewPair(key string, value []byte, revision int64) Pair {
+func NewPair(key string, value []byte, revision Revision) Pair {
 	return Pair{key: key, value: value, revision: revision}
 }
 
@@ -36,10 +36,10 @@
 func (p Pair) Value() []byte { return p.value }
 
 // Revision returns the store's revision at which the pair was last changed.
-func (p Pair) Revision() int64 { return p.revision }
+func (p Pair) Revision() Revision { return p.revision }
 
 // NewRangeResult returns the pairs that a store held at a revision, sorted by key.
-func NewRangeResult(pairs []Pair, revision int64) RangeResult {
+func NewRangeResult(pairs []Pair, revision Revision) RangeResult {
 	return RangeResult{pairs: pairs, revision: revision}
 }
 
@@ -47,16 +47,18 @@
 func NewEvent(p Pair) Event { return Event{pair: p} }
 
 // NewDeletion returns the event of a key that was deleted at a revision.
-func NewDeletion(key string, revision int64) Event {
+func NewDeletion(key string, revision Revision) Event {
 	return Event{pair: Pair{key: key, revision: revision}, deleted: true}
 }
 
 // NewBatch returns events in the order of their revisions, and the store's
 // revision after them.
-func NewBatch(events []Event, revision int64) Batch { return Batch{events: events, revision: revision} }
+func NewBatch(events []Event, revision Revision) Batch {
+	return Batch{events: events, revision: revision}
+}
 
 // NewTxnResult returns the result of a transaction.
-func NewTxnResult(succeeded bool, revision int64) TxnResult {
+func NewTxnResult(succeeded bool, revision Revision) TxnResult {
 	return TxnResult{succeeded: succeeded, revision: revision}
 }
 
@@ -66,12 +68,12 @@
 }
 
 // NewCompactedError returns the error for a watch from a compacted revision.
-func NewCompactedError(revision int64) *CompactedError { return &CompactedError{revision: revision} }
+func NewCompactedError(revision Revision) *CompactedError { return &CompactedError{revision: revision} }
 
 // RangeResult is the result of a range read: the pairs and the store's revision.
 type RangeResult struct {
 	pairs      []Pair
-	revision   int64
+	revision   Revision
 	recovering bool
 }
 
@@ -91,7 +93,7 @@
 func (r RangeResult) Pairs() []Pair { return r.pairs }
 
 // Revision returns the store's revision at the time of the read.
-func (r RangeResult) Revision() int64 { return r.revision }
+func (r RangeResult) Revision() Revision { return r.revision }
 
 // Event is a change of one key.
 type Event struct {
@@ -108,14 +110,14 @@
 // Batch is the events of one or more whole transactions.
 type Batch struct {
 	events   []Event
-	revision int64
+	revision Revision
 }
 
 // Events returns the events in the order of their revisions.
 func (b Batch) Events() []Event { return b.events }
 
 // Revision returns the store's revision after the batch.
-func (b Batch) Revision() int64 { return b.revision }
+func (b Batch) Revision() Revision { return b.revision }
 
 // Txn is a transaction: if every compared key is at its expected revision, all
 // writes take effect atomically, and otherwise none does.
@@ -126,19 +128,19 @@
 
 type compare struct {
 	key      string
-	revision int64
+	revision Revision
 }
 
 type write struct {
 	key     string
 	value   []byte
-	lease   int64
+	lease   Lease
 	deleted bool
 }
 
 // Compare adds the condition that the key was last changed at the revision, or
-// does not exist if that is 0.
-func (t *Txn) Compare(key string, revision int64) {
+// does not exist if that is the zero value.
+func (t *Txn) Compare(key string, revision Revision) {
 	t.compares = append(t.compares, compare{key: key, revision: revision})
 }
 
@@ -149,7 +151,7 @@
 
 // PutLeased adds a write of a value that is attached to a lease: the key is removed
 // when the lease expires.
-func (t *Txn) PutLeased(key string, value []byte, lease int64) {
+func (t *Txn) PutLeased(key string, value []byte, lease Lease) {
 	t.writes = append(t.writes, write{key: key, value: value, lease: lease})
 }
 
@@ -161,14 +163,14 @@
 // TxnResult is the result of a transaction.
 type TxnResult struct {
 	succeeded bool
-	revision  int64
+	revision  Revision
 }
 
 // Succeeded reports whether the writes took effect.
 func (c TxnResult) Succeeded() bool { return c.succeeded }
 
 // Revision returns the store's revision after the transaction.
-func (c TxnResult) Revision() int64 { return c.revision }
+func (c TxnResult) Revision() Revision { return c.revision }
 
 // StatusError reports a response of the store with an unsuccessful status. The
 // operation has not taken effect if the status is below 500.
@@ -188,11 +190,11 @@
 
 // CompactedError reports that a watch started at a revision that the store has
 // compacted. The keys have to be read again.
-type CompactedError struct{ revision int64 }
+type CompactedError struct{ revision Revision }
 
 // Error implements error.
 func (e *CompactedError) Error() string {
-	return fmt.Sprintf("store: history is compacted up to revision %d", e.revision)
+	return fmt.Sprintf("store: history is compacted up to revision %s", e.revision)
 }
 
 // Name returns the name of a store in logs.
@@ -235,17 +237,17 @@
 	return TxnResult{}, errUnknownStoreType
 }
 
-// Watch calls receive with each batch of changes from the revision on, until
+// Watch calls receive with each batch of changes after the revision, until
 // the context ends or the watch fails. The error is a *CompactedError if the keys
 // have to be read again.
-func Watch(ctx context.Context, s Store, prefix string, from int64, receive func(Batch)) error {
+func Watch(ctx context.Context, s Store, prefix string, after Revision, receive func(Batch)) error {
 	switch s := s.(type) {
 	case *Gateway:
-		return s.watch(ctx, prefix, from, receive)
+		return s.watch(ctx, prefix, after, receive)
 	case *Memory:
-		return s.Watch(ctx, prefix, from, receive)
+		return s.Watch(ctx, prefix, after, receive)
 	case *Remote:
-		return s.watch(ctx, prefix, from, receive)
+		return s.watch(ctx, prefix, after, receive)
 	}
 	return errUnknownStoreType
 }
@@ -258,33 +260,33 @@
 
 // Probe checks that the store answers, and returns its revision, which may be some
 // seconds old.
-func Probe(ctx context.Context, s Store) (int64, error) {
+func Probe(ctx context.Context, s Store) (Revision, error) {
 	if remote, ok := s.(*Remote); ok && remote.probe != nil {
 		return remote.probe(ctx)
 	}
-	return 0, errUnknownStoreType
+	return Revision{}, errUnknownStoreType
 }
 
-// Grant creates a lease and returns its ID.
-func Grant(ctx context.Context, s Store, ttl time.Duration) (int64, error) {
+// Grant creates a lease.
+func Grant(ctx context.Context, s Store, ttl time.Duration) (Lease, error) {
 	switch s := s.(type) {
 	case *Gateway:
 		return s.grant(ctx, ttl)
 	case *Memory:
-		return s.Grant(ttl, 0), nil
+		return etcdLease(s.Grant(ttl, 0)), nil
 	case *Remote:
 		return s.grant(ctx, ttl)
 	}
-	return 0, errUnknownStoreType
+	return Lease{}, errUnknownStoreType
 }
 
 // KeepAlive renews a lease. It returns false if the lease has expired.
-func KeepAlive(ctx context.Context, s Store, lease int64) (bool, error) {
+func KeepAlive(ctx context.Context, s Store, lease Lease) (bool, error) {
 	switch s := s.(type) {
 	case *Gateway:
 		return s.keepAlive(ctx, lease)
 	case *Memory:
-		return s.KeepAlive(lease) > 0, nil
+		return s.KeepAlive(lease.ID()) > 0, nil
 	case *Remote:
 		return s.keepAlive(ctx, lease)
 	}
@@ -292,12 +294,12 @@
 }
 
 // Revoke revokes a lease and removes its keys.
-func Revoke(ctx context.Context, s Store, lease int64) error {
+func Revoke(ctx context.Context, s Store, lease Lease) error {
 	switch s := s.(type) {
 	case *Gateway:
 		return s.revoke(ctx, lease)
 	case *Memory:
-		s.Revoke(lease)
+		s.Revoke(lease.ID())
 		return nil
 	case *Remote:
 		return s.revoke(ctx, lease)
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -34,9 +34,13 @@
 func TestCompareAndSwap(t *testing.T) {
 	c := qt.New(t)
 	for _, s := range stores(c) {
-		first := commit(c, s, func(t *storer.Txn) { t.Compare("/a", 0); t.Put("/a", []byte("1")); t.Put("/b", []byte("2")) })
+		first := commit(c, s, func(t *storer.Txn) {
+			t.Compare("/a", storer.Revision{})
+			t.Put("/a", []byte("1"))
+			t.Put("/b", []byte("2"))
+		})
 		c.Assert(first.Succeeded(), qt.IsTrue)
-		again := commit(c, s, func(t *storer.Txn) { t.Compare("/a", 0); t.Put("/a", []byte("lost")) })
+		again := commit(c, s, func(t *storer.Txn) { t.Compare("/a", storer.Revision{}); t.Put("/a", []byte("lost")) })
 		c.Assert(again.Succeeded(), qt.IsFalse)
 		c.Assert(again.Revision(), qt.Equals, first.Revision())
 		next := commit(c, s, func(t *storer.Txn) { t.Compare("/a", first.Revision()); t.Delete("/b") })
@@ -58,7 +62,7 @@
 		batches := make(chan storer.Batch, 10)
 		ended := make(chan error, 1)
 		go func() {
-			ended <- storer.Watch(ctx, s, "/c/", first.Revision()+1, func(b storer.Batch) { batches <- b })
+			ended <- storer.Watch(ctx, s, "/c/", first.Revision(), func(b storer.Batch) { batches <- b })
 		}()
 		c.Assert((<-batches).Events(), qt.HasLen, 2)
 		commit(c, s, func(t *storer.Txn) { t.Delete("/c/b") })
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -103,7 +103,7 @@
 	w.recordContact()
 	ctx, cancel := context.WithTimeout(ctx, resyncInterval+rand.N(resyncInterval/4))
 	defer cancel()
-	err = storer.Watch(ctx, w.store, keys.ConfigPrefix(), page.Revision()+1, w.handleBatch)
+	err = storer.Watch(ctx, w.store, keys.ConfigPrefix(), page.Revision(), w.handleBatch)
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
@@ -115,7 +115,7 @@
 func (w *Watcher) isActive(page storer.RangeResult) bool {
 	revision := w.publisher.Current().Deployment().Revision()
 	for _, pair := range page.Pairs() {
-		return descriptor.Revision(pair.Revision()) == revision
+		return assembler.ConfigurationRevision(pair.Revision()) == revision
 	}
 	return false
 }
