Read the store's era from each of its answers

Cause: the store names its era in the header Store-Era, in answers of every status, and the adapter did not read it. After the store had come back from an older copy, its revisions and leases were taken for those of the history before.

What callers saw: 404 or the old service for a route that the store had confirmed.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -12,7 +12,6 @@
 	"burdocklane/sleeper"
 	"burdocklane/storer"
 
-	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 )
 
@@ -132,8 +131,7 @@
 // confirmAfterError looks for the change in the history, since the response may
 // have been lost after the write was applied.
 func (a *Applier) confirmAfterError(ctx context.Context, id string, changedServices []string, cause error) (Result, error) {
-	var status *storer.StatusError
-	if errors.As(cause, &status) && status.Status() < 500 {
+	if storer.NotExecuted(cause) {
 		return nil, cause
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.confirmTimeout)
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -70,7 +70,8 @@
 }
 
 // watch polls until an error. It calls receive with each batch, also with an empty
-// one, which shows that the store is reachable.
+// one, which shows that the store is reachable. A batch of another era ends the
+// watch: what has changed between the eras is not known.
 func (r *Remote) watch(ctx context.Context, prefix string, after Revision, receive func(Batch)) error {
 	batchDelay := r.batchDelay
 	for {
@@ -79,6 +80,9 @@
 		if err != nil {
 			return err
 		}
+		if batch.Revision().Era() != after.Era() {
+			return NewCompactedError(after)
+		}
 		receive(batch)
 		after = LatestRevision(after, batch.Revision())
 		batchDelay = r.nextBatchDelay(batchDelay, time.Since(start))
--- a/storer/store.go
+++ b/storer/store.go
@@ -189,7 +189,7 @@
 }
 
 // CompactedError reports that a watch started at a revision that the store has
-// compacted. The keys have to be read again.
+// compacted, or that is of another era. The keys have to be read again.
 type CompactedError struct{ revision Revision }
 
 // Error implements error.
@@ -224,7 +224,7 @@
 }
 
 // Commit runs a transaction. After an error it is unknown whether the transaction
-// took effect, unless the error is a *StatusError with a status below 500.
+// took effect, unless NotExecuted says that it has not.
 func Commit(ctx context.Context, s Store, t Txn) (TxnResult, error) {
 	switch s := s.(type) {
 	case *Gateway:
