Follow a store that has gone back to an older copy

Cause: the follower refused a read whose revision was lower than the one it knew. The keys of a restored store were such a read until the store had given out more revisions than it lost.

A read in a later era counts like a recovery after an outage: keys that the copy lacks are retained for missingKeyGrace, as their writers put them again. A line with both revisions and burdocklane_store_restores_total say when it happened.

What callers saw: 404 or the old service for a route that the store had confirmed, until the store's revision had passed the one known before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -12,6 +12,7 @@
 	"burdocklane/sleeper"
 	"burdocklane/storer"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 )
@@ -43,6 +44,10 @@
 	maxRelayedBackoff = 1500 * time.Millisecond
 )
 
+// storeRestores counts how often the store was found to have gone back to an older
+// copy.
+var storeRestores = metrics.NewCounter("burdocklane_store_restores_total")
+
 // Follower keeps a replica of the keys with a prefix up to date.
 type Follower struct {
 	started       time.Time // lastContact and lostAt are durations since this time.
@@ -243,6 +248,7 @@
 		return &StaleReadError{have: have, read: result.Revision()}
 	}
 	f.recordRead(storer.Name(store))
+	f.recordEra(result.Revision())
 	if result.IsRecovering() {
 		f.replica.RetainUntil(time.Now().Add(missingKeyGrace))
 	}
@@ -301,6 +307,19 @@
 	}
 }
 
+// recordEra records that the store has gone back to an older copy if the revision is
+// of a later era than the replica's. Missing keys are then retained for a grace
+// period, as after an outage: their writers put them again.
+func (f *Follower) recordEra(read storer.Revision) {
+	have := f.knownRevision.Load()
+	if have.IsZero() || read.Era() == have.Era() {
+		return
+	}
+	storeRestores.Inc()
+	f.log.Info().Stringer("have", have).Stringer("revision", read).Msg("store has gone back to an older copy")
+	f.replica.RetainUntil(time.Now().Add(missingKeyGrace))
+}
+
 func (f *Follower) applyBatch(b storer.Batch) {
 	f.lastContact.Store(int64(f.now()))
 	f.knownRevision.Advance(b.Revision())
--- a/follower/replica_test.go
+++ b/follower/replica_test.go
@@ -10,19 +10,26 @@
 	qt "github.com/frankban/quicktest"
 )
 
-func keys(r *follower.Replica) []string {
-	names := []string{}
-	for _, pair := range r.Pairs() {
-		names = append(names, pair.Key()+"="+string(pair.Value()))
+func keys(r *follower.Replica) []string { return values(r.Pairs()) }
+
+// values returns each key with its value, as in "key=value".
+func values(pairs []storer.Pair) []string {
+	all := []string{}
+	for _, pair := range pairs {
+		all = append(all, pair.Key()+"="+string(pair.Value()))
 	}
-	return names
+	return all
 }
 
-// revision returns a revision of the first era.
-func revision(number int64) storer.Revision { return storer.NewRevision(0, number) }
+// era is the era of the revisions that a test does not set.
+const era = 1
+
+func revision(number int64) storer.Revision { return storer.NewRevision(era, number) }
 
-func pair(key, value string, number int64) storer.Pair {
-	return storer.NewPair(key, []byte(value), revision(number))
+func pair(key, value string, number int64) storer.Pair { return pairOf(key, value, era, number) }
+
+func pairOf(key, value string, era, number int64) storer.Pair {
+	return storer.NewPair(key, []byte(value), storer.NewRevision(era, number))
 }
 
 // A key that disappears in an outage is still used by this instance, but not
@@ -68,6 +75,18 @@
 		{"an older value is ignored", func(r *follower.Replica) {
 			r.Apply([]storer.Event{storer.NewEvent(pair("a", "0", 1))})
 		}, []string{"a=1", "b=1"}},
+		{"a value of a later era with a lower revision", func(r *follower.Replica) {
+			r.Apply([]storer.Event{storer.NewEvent(pairOf("a", "2", era+1, 3))})
+		}, []string{"a=2", "b=1"}},
+		{"a value of a later era with the same revision", func(r *follower.Replica) {
+			r.Apply([]storer.Event{storer.NewEvent(pairOf("a", "2", era+1, 10))})
+		}, []string{"a=2", "b=1"}},
+		{"a removal in a later era with a lower revision", func(r *follower.Replica) {
+			r.Apply([]storer.Event{storer.NewDeletion("a", storer.NewRevision(era+1, 3))})
+		}, []string{"b=1"}},
+		{"a value of an older era with a higher revision", func(r *follower.Replica) {
+			r.Apply([]storer.Event{storer.NewEvent(pairOf("a", "0", era-1, 99))})
+		}, []string{"a=1", "b=1"}},
 		{"a removal", func(r *follower.Replica) {
 			r.Apply([]storer.Event{storer.NewDeletion("a", revision(11))})
 		}, []string{"b=1"}},
