Have readers of a relay read all keys in a new era of the store

Cause: a relay passes on what has changed since a cursor. Readers of an earlier era would have learnt of the copy's keys as changes, and of the lost ones as removals, without knowing that these may be put again, if the relay was already retaining keys after an outage.

Tests also hold that a relay waits for the era that a reader knows, that messages and datagrams keep the era, that a datagram of another format is rejected, and that a peer of an older era hides no later one. With the era left out of the condition, TestChangesAcrossAnEra/the_store_had_just_recovered_from_an_outage fails.

What callers could have seen: 503, as workers that are absent from the copy were dropped at once.

--- a/gossiper/message_test.go
+++ b/gossiper/message_test.go
@@ -40,6 +40,31 @@
 	}
 }
 
+// A datagram of the format before has no era: its fields would be read at the wrong
+// places.
+func TestOtherFormatsAreRejected(t *testing.T) {
+	tests := []struct {
+		name    string
+		version uint8
+		valid   bool
+	}{
+		{"the format before", formatVersion - 1, false},
+		{"this format", formatVersion, true},
+		{"a later format", formatVersion + 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := encode(5, storer.NewRevision(2, 77), nil)
+			c.Assert(err, qt.IsNil)
+			data[0] = test.version
+			_, _, err = decode(data)
+			var bad *decoder.DatagramError
+			c.Assert(errors.As(err, &bad), qt.Equals, !test.valid)
+		})
+	}
+}
+
 func TestReportKeepsItsAge(t *testing.T) {
 	c := qt.New(t)
 	r := record{}
--- a/gossiper/update_test.go
+++ b/gossiper/update_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// A peer that still is in an older era of the store must not hide the later one, whose
+// numbers are lower.
+func TestRevisionsOfPeers(t *testing.T) {
+	tests := []struct {
+		name  string
+		known storer.Revision
+		got   storer.Revision
+		want  storer.Revision
+	}{
+		{"a later revision", storer.NewRevision(1, 41), storer.NewRevision(1, 58), storer.NewRevision(1, 58)},
+		{"an earlier revision", storer.NewRevision(1, 58), storer.NewRevision(1, 41), storer.NewRevision(1, 58)},
+		{"a lower revision of a later era", storer.NewRevision(1, 58), storer.NewRevision(2, 41), storer.NewRevision(2, 41)},
+		{"a higher revision of an older era", storer.NewRevision(2, 41), storer.NewRevision(1, 58), storer.NewRevision(2, 41)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var observed storer.Revision
+			i := &Gossiper{started: time.Now(), hooks: NewRevisionHooks(nil, func(r storer.Revision) { observed = r })}
+			i.view.Store(&view{})
+			i.knownRevision.Advance(test.known)
+			i.apply(header{Sender: 1, Era: test.got.Era(), Revision: test.got.Number()}, nil)
+			c.Assert(observed, qt.Equals, test.got)
+			c.Assert(i.knownRevision.Load(), qt.Equals, test.want)
+		})
+	}
+}
+
 // One instance checks each worker: an instance of its own zone, if there is one.
 func TestOwnerOf(t *testing.T) {
 	live := []peer{peerOf("a1", "a"), peerOf("a2", "a"), peerOf("b1", "b")}
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,8 +18,10 @@
 	"go.uber.org/goleak"
 )
 
-// revision returns a revision of the first era.
-func revision(number int64) storer.Revision { return storer.NewRevision(0, number) }
+// era is the era of the revisions that a test does not set.
+const era = 1
+
+func revision(number int64) storer.Revision { return storer.NewRevision(era, number) }
 
 func pairs(numbers ...int64) []storer.Pair {
 	all := make([]storer.Pair, 0, len(numbers))
@@ -89,6 +93,87 @@
 	c.Assert(later.message("i").rangeResult().IsRecovering(), qt.IsTrue)
 }
 
+// After the store has gone back to an older copy, what readers know of its changes is
+// worth nothing: they have to read all keys again, even if these have the same numbers.
+func TestChangesAcrossAnEra(t *testing.T) {
+	tests := []struct {
+		name   string
+		before storer.RangeResult
+	}{
+		{"the store was reachable until then", storer.NewRangeResult(pairs(1, 2), revision(2))},
+		{"the store had just recovered from an outage", storer.NewRangeResult(pairs(1, 2), revision(2)).WithRecovering(true)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			later := storer.NewRevision(era+1, 2)
+			before := newSnapshot().next(test.before)
+			restored := before.next(storer.NewRangeResult([]storer.Pair{storer.NewPair("key-1", []byte("other"), later)}, later).WithRecovering(true))
+			_, known := restored.changesSince(before.cursor)
+			c.Assert(known, qt.IsFalse)
+			_, known = restored.changesSince(restored.cursor)
+			c.Assert(known, qt.IsTrue)
+			got := restored.message("i").rangeResult()
+			c.Assert(got.Revision(), qt.Equals, later)
+			c.Assert(got.Pairs(), qt.HasLen, 1)
+			c.Assert(string(got.Pairs()[0].Value()), qt.Equals, "other")
+			c.Assert(got.Pairs()[0].Revision(), qt.Equals, later)
+		})
+	}
+}
+
+// An era that got lost between two instances would make the revisions of a restored
+// store look older than they are.
+func TestEraInMessages(t *testing.T) {
+	c := qt.New(t)
+	later := storer.NewRevision(era+1, 4)
+	s := newSnapshot().next(storer.NewRangeResult(pairs(1, 2), revision(2)))
+	s = s.next(storer.NewRangeResult(nil, revision(3)))
+	s = s.next(storer.NewRangeResult([]storer.Pair{storer.NewPair("key-1", nil, later)}, later))
+	s.compactedCursor = 0 // Makes all changes available one by one.
+	m, ok := s.changesSince(0)
+	c.Assert(ok, qt.IsTrue)
+	data, err := json.Marshal(m)
+	c.Assert(err, qt.IsNil)
+	var got changesMessage
+	c.Assert(json.Unmarshal(data, &got), qt.IsNil)
+	batch := got.batch()
+	c.Assert(batch.Revision(), qt.Equals, later)
+	eras := map[bool]int64{}
+	for _, event := range batch.Events() {
+		eras[event.Deleted()] = event.Pair().Revision().Era()
+	}
+	c.Assert(eras, qt.DeepEquals, map[bool]int64{true: era, false: era + 1})
+}
+
+// A relay that took a query of another form for one without a condition would serve
+// keys that the client has outgrown.
+func TestParseMinRevision(t *testing.T) {
+	tests := []struct {
+		name  string
+		query string
+		want  storer.Revision
+		valid bool
+	}{
+		{"era and number", "least-era=2&least-revision=41", storer.NewRevision(2, 41), true},
+		{"no era", "least-revision=41", storer.NewRevision(0, 41), true},
+		{"no number", "least-era=2", storer.Revision{}, false},
+		{"an era that is no number", "least-era=two&least-revision=41", storer.Revision{}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			query, err := url.ParseQuery(test.query)
+			c.Assert(err, qt.IsNil)
+			got, err := parseMinRevision(query)
+			c.Assert(err == nil, qt.Equals, test.valid)
+			if test.valid {
+				c.Assert(got, qt.Equals, test.want)
+			}
+		})
+	}
+}
+
 // A cursor older than the removals that the relay still has must be refused:
 // otherwise the reader would keep a removed key forever.
 func TestCursorBeforeTrimmedRemovals(t *testing.T) {
@@ -111,17 +196,19 @@
 	defer goleak.VerifyNone(t)
 	tests := []struct {
 		name         string
-		published    int64 // The revision of the published keys, if any.
+		published    storer.Revision // Of the published keys, if any.
 		suspended    bool
 		followsStore bool
-		minRevision  int64
+		minRevision  storer.Revision
 		serves       bool
 	}{
-		{"it follows the store", 10, false, true, 10, true},
-		{"no keys are known yet", 0, false, true, 0, false},
-		{"the store is unreachable", 10, false, false, 10, false},
-		{"others are the relays now", 10, true, true, 10, false},
-		{"the client knows a later revision", 10, false, true, 11, false},
+		{"it follows the store", revision(10), false, true, revision(10), true},
+		{"no keys are known yet", storer.Revision{}, false, true, storer.Revision{}, false},
+		{"the store is unreachable", revision(10), false, false, revision(10), false},
+		{"others are the relays now", revision(10), true, true, revision(10), false},
+		{"the client knows a later revision", revision(10), false, true, revision(11), false},
+		{"the client knows a lower revision of a later era", revision(10), false, true, storer.NewRevision(era+1, 3), false},
+		{"the client knows a higher revision of an older era", revision(10), false, true, storer.NewRevision(era-1, 58), true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -129,18 +216,18 @@
 			r, err := New(anyAddress, func() bool { return test.followsStore }, zerolog.Nop())
 			c.Assert(err, qt.IsNil)
 			defer r.Close()
-			if test.published > 0 {
-				r.Publish(storer.NewRangeResult(pairs(test.published), revision(test.published)))
+			if !test.published.IsZero() {
+				r.Publish(storer.NewRangeResult(pairs(test.published.Number()), test.published))
 			}
 			if test.suspended {
 				r.Suspend()
 			}
 			client := newClient()
 			defer client.CloseIdleConnections()
-			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() storer.Revision { return revision(test.minRevision) }), "")
+			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() storer.Revision { return test.minRevision }), "")
 			c.Assert(err == nil, qt.Equals, test.serves)
 			if test.serves {
-				c.Assert(result.Revision(), qt.Equals, revision(test.published))
+				c.Assert(result.Revision(), qt.Equals, test.published)
 				c.Assert(result.Pairs(), qt.HasLen, 1)
 			}
 		})
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -58,12 +58,19 @@
 		}
 	}
 	n.trimRemovals()
-	if n.recovering && !s.recovering { // Keys that are missing now may be put again: readers have to read all keys again.
+	if n.isResetFrom(s) {
 		n.compactedCursor = n.cursor
 	}
 	return n
 }
 
+// isResetFrom reports whether readers of the snapshot before have to read all keys
+// again: keys that are missing now may be put again, or the store has gone back to an
+// older copy.
+func (s *snapshot) isResetFrom(before *snapshot) bool {
+	return s.recovering && !before.recovering || s.revision.Era() != before.revision.Era()
+}
+
 // trimRemovals drops the oldest removals beyond maxRemovals.
 func (s *snapshot) trimRemovals() {
 	if excess := len(s.removed) - maxRemovals; excess > 0 {
