Register again in a new era of the store

Cause: the lease of an instance's entry was a bare number. In a store that has gone back to an older copy the number may belong to another writer, or to nobody, and an entry in the copy may hang on a lease that the instance does not renew.

A line says when the lease has expired. With the outcome of the renewal ignored, as a guard of the test, TestEntryIsWrittenAgainInANewEra/the_copy_has_the_entry fails.

What callers could have seen: an instance missing from the others' list, and so its relay and scheduler. Found by reading; no run has shown it.

--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -46,7 +46,9 @@
 	return registrar.NewInstance(registrar.InstanceID(e.ID), e.Peers, "", registrar.NewLocality(e.Region, e.Zone), false).WithSchedulerAddress(e.SchedulerAddress).WithCPUs(e.Power), nil
 }
 
-// Registrant writes the entry of this instance and renews its lease.
+// Registrant writes the entry of this instance and renews its lease. Once the store
+// has gone back to an older copy, the lease counts as expired, and the entry is
+// written again with a new one.
 type Registrant struct {
 	store   storer.Store
 	key     string
@@ -146,6 +148,7 @@
 			continue
 		}
 		if !alive {
+			r.log.Info().Msg("the lease of this instance's entry has expired; writing the entry again")
 			return
 		}
 	}
--- a/registrant/registrant_test.go
+++ b/registrant/registrant_test.go
@@ -1,7 +1,11 @@
 package registrant_test
 
 import (
+	"context"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdocklane/registrant"
@@ -65,3 +69,134 @@
 		})
 	}
 }
+
+// restorableStore is a fake store that can go back to an older copy and then gives out
+// the IDs of leases again. Like the platform's client, it neither renews a lease of
+// another era nor runs a transaction with one.
+type restorableStore struct {
+	mutex    sync.Mutex // Guards the fields below.
+	era      int64
+	nextID   int64
+	renewed  []storer.Lease
+	written  []storer.Lease // The lease of each entry that was written.
+	onCommit func()         // Called before each transaction, if set.
+	commit   error          // The error of the next transaction.
+}
+
+func (s *restorableStore) goBack() {
+	s.era++
+	s.nextID = 0
+}
+
+func (s *restorableStore) store() *storer.Remote {
+	return storer.NewRemote(
+		storer.WithLeases(
+			func(context.Context, time.Duration) (storer.Lease, error) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				s.nextID++
+				return storer.NewLease(s.era, s.nextID), nil
+			},
+			func(_ context.Context, lease storer.Lease) (bool, error) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				if lease.Era() != s.era {
+					return false, nil
+				}
+				s.renewed = append(s.renewed, lease)
+				return true, nil
+			},
+			func(context.Context, storer.Lease) error { return nil }),
+		storer.WithCommit(func(_ context.Context, t storer.Txn) (storer.TxnResult, error) {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			if s.onCommit != nil {
+				s.onCommit()
+				s.onCommit = nil
+			}
+			lease := t.Writes()[0].Lease()
+			if err := s.commit; err != nil {
+				s.commit = nil
+				return storer.TxnResult{}, err
+			}
+			if lease.Era() != s.era {
+				return storer.TxnResult{}, storer.NewSupersededError("transaction", lease.Era(), s.era)
+			}
+			s.written = append(s.written, lease)
+			return storer.NewTxnResult(true, storer.NewRevision(s.era, 1)), nil
+		}))
+}
+
+// After the store has gone back to an older copy, the ID of the lease may belong to
+// another writer: an instance that went on renewing it would lose its entry.
+func TestEntryIsWrittenAgainInANewEra(t *testing.T) {
+	lease := storer.NewLease
+	tests := []struct {
+		name    string
+		start   func(*restorableStore) // Before the first write.
+		later   func(*restorableStore) // A minute after it.
+		missing bool                   // The entry is reported missing then.
+		wait    time.Duration          // From then on.
+		written []storer.Lease
+		renewed []storer.Lease
+	}{
+		{
+			"one era", nil, nil, false, 5 * time.Minute,
+			[]storer.Lease{lease(1, 1)},
+			[]storer.Lease{lease(1, 1), lease(1, 1)},
+		},
+		{
+			"the copy has the entry", nil, (*restorableStore).goBack, false, 6 * time.Minute,
+			[]storer.Lease{lease(1, 1), lease(2, 1)},
+			[]storer.Lease{lease(2, 1)},
+		},
+		{
+			"the copy lacks the entry", nil, (*restorableStore).goBack, true, 3 * time.Second,
+			[]storer.Lease{lease(1, 1), lease(2, 1)},
+			nil,
+		},
+		{
+			"the store goes back between the lease and the entry",
+			func(s *restorableStore) { s.onCommit = s.goBack }, nil, false, time.Second,
+			[]storer.Lease{lease(2, 1)},
+			nil,
+		},
+		{
+			"the entry is answered in a later era",
+			func(s *restorableStore) {
+				s.commit = storer.NewEraChangedError("transaction", 1, 2)
+				s.onCommit = s.goBack
+			},
+			nil, false, time.Second,
+			[]storer.Lease{lease(2, 1)},
+			nil,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := &restorableStore{era: 1}
+				if test.start != nil {
+					test.start(s)
+				}
+				r, err := registrant.New(s.store(), "own/", registrar.NewInstance("i", "10.0.0.1:1", "", registrar.NewLocality("r", "z"), false), zerolog.Nop())
+				c.Assert(err, qt.IsNil)
+				r.Observe(nil)
+				time.Sleep(time.Minute)
+				if test.later != nil {
+					s.mutex.Lock()
+					test.later(s)
+					s.mutex.Unlock()
+				}
+				if test.missing {
+					r.Observe(nil)
+				}
+				time.Sleep(test.wait)
+				r.Close()
+				c.Assert(slices.Equal(s.written, test.written), qt.IsTrue, qt.Commentf("%v", s.written))
+				c.Assert(slices.Equal(s.renewed, test.renewed), qt.IsTrue, qt.Commentf("%v", s.renewed))
+			})
+		})
+	}
+}
