Keep what is known of workers that left before the store went back

Cause: a copy that the store goes back to may list a worker as ready that had announced to leave, or that had been removed. The identity of an entry was the bare revision, and the copy's entry replaced the later one.

Change: a registration is known by its whole revision.

What callers could have seen: calls sent to a worker that was leaving or gone, until its entry was written again or removed.

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -9,7 +9,7 @@
 // applyKeys applies the configuration and the list of the fleet from the keys of
 // the store.
 func (p *Process) applyKeys(usable []storer.Pair, stored storer.RangeResult) {
-	list, changed := p.directory.Parse(usable)
+	list, changed := p.directory.Parse(usable, stored.Revision())
 	p.registration.Observe(usable)
 	p.updateRelay(list, stored)
 	if changed != nil {
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -52,6 +52,7 @@
 	leaving  bool
 	started  int64
 	coldFor  time.Duration
+	sequence int64
 }
 
 // NewWorker returns a worker. The address is host:port. Slots is the number of calls
@@ -67,6 +68,16 @@
 	return w
 }
 
+// WithSequence returns a copy of w with the sequence number of its registration, which
+// grows with each one of an incarnation.
+func (w Worker) WithSequence(sequence int64) Worker {
+	w.sequence = sequence
+	return w
+}
+
+// Sequence returns the sequence number of the registration.
+func (w Worker) Sequence() int64 { return w.sequence }
+
 // SameIncarnation reports whether w and other are the same start of the same worker.
 func (w Worker) SameIncarnation(other Worker) bool {
 	return w.id == other.id && w.address == other.address && w.service == other.service && w.started == other.started
