Do not report the active configuration as an older one

Cause: the configuration of a restored store is parsed again, as its revision is another one. If it has the version that is active already, the line "an older configuration was ignored" came for it.

Change: that line is written only for an older version. What is in force does not change.

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -2,8 +2,11 @@
 
 import (
 	"burdocklane/descriptor"
+	"burdocklane/publisher"
 	"burdocklane/registrar"
 	"burdocklane/storer"
+
+	"github.com/go-faster/errors"
 )
 
 // applyKeys applies the configuration and the list of the fleet from the keys of
@@ -21,13 +24,19 @@
 	}
 }
 
+// applyConfiguration makes a configuration active unless it is older than the active
+// one, or the same: a store that has gone back to an older copy gives it out again.
 func (p *Process) applyConfiguration(d descriptor.Deployment) {
 	source := p.follower.Source()
-	if err := p.publisher.PublishDeployment(d, source); err != nil {
+	err := p.publisher.PublishDeployment(d, source)
+	var notNewer *publisher.RevisionError
+	switch {
+	case err == nil:
+		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Msg("configuration is in force")
+	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
+	default:
 		p.log.Warn().Err(err).Str("source", source).Msg("an older configuration was ignored")
-		return
 	}
-	p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Msg("configuration is in force")
 }
 
 // updateRelay serves the stored keys to peers if this instance is a relay, and
