Log the store's revision in a field of its own

Change: the store's revision is in "store-revision", together with "have" where there are two. Before, TestLinesOfTheStoreRevision failed: explain read neither line.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -148,7 +148,7 @@
 	time.AfterFunc(w.catchUpTimeout, func() {
 		have := f.knownRevision.Load()
 		if revision.After(have) && f.activeWatch.CompareAndSwap(w, nil) {
-			f.log.Warn().Stringer("revision", revision).Stringer("have", have).Bool("relayed", w.relayed).
+			f.log.Warn().Stringer("store-revision", revision).Stringer("have", have).Bool("relayed", w.relayed).
 				Msg("watch has not delivered a revision that peers know; reading the keys again")
 			w.end(&StalledWatchError{have: have, known: revision})
 		}
@@ -316,7 +316,7 @@
 		return
 	}
 	storeRestores.Inc()
-	f.log.Info().Stringer("have", have).Stringer("revision", read).Msg("store has gone back to an older copy")
+	f.log.Info().Stringer("have", have).Stringer("store-revision", read).Msg("store has gone back to an older copy")
 	f.replica.RetainUntil(time.Now().Add(missingKeyGrace))
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -1,12 +1,14 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"burdocklane/explainer"
 	"burdocklane/follower"
 	"burdocklane/storer"
 
@@ -425,3 +427,51 @@
 		})
 	}
 }
+
+// The reader of the log takes a field "revision" for the number of a configuration's
+// version, and skips lines in which it is anything else.
+func TestLinesOfTheStoreRevision(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(*follower.Follower, *restoredStore)
+		line string
+	}{
+		{
+			"the store goes back", func(_ *follower.Follower, s *restoredStore) { close(s.goesBack) },
+			"store has gone back to an older copy",
+		},
+		{
+			"a peer knows a later era", func(f *follower.Follower, _ *restoredStore) { f.NotifyRevision(storer.NewRevision(2, 41)) },
+			"watch has not delivered a revision that peers know; reading the keys again",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := &restoredStore{
+					before:   storer.NewRangeResult(nil, storer.NewRevision(1, 58)),
+					restored: storer.NewRangeResult(nil, storer.NewRevision(2, 41)),
+					goesBack: make(chan struct{}),
+				}
+				var log bytes.Buffer
+				f := follower.New(s.store(), "", func([]storer.Pair, storer.RangeResult) {}, zerolog.New(&log))
+				f.Start()
+				synctest.Wait()
+				test.play(f, s)
+				time.Sleep(5 * time.Second)
+				f.Close()
+				lines, err := explainer.Read(&log)
+				c.Assert(err, qt.IsNil)
+				raw := ""
+				for _, line := range lines {
+					if line.Message() == test.line {
+						raw = string(line.Raw())
+					}
+				}
+				c.Assert(raw, qt.Contains, `"store-revision":"2:41"`)
+				c.Assert(raw, qt.Contains, `"have":"1:58"`)
+			})
+		})
+	}
+}
