Restore the soak's store from older copies

Cause: in a drill the platform's store may come back from a copy some seconds old. The soak's store lost nothing.

Change: store-restored takes the store down and brings it back from a copy 1 to 9 s old. The lost seconds hold up to 3 configurations, up to 40 revisions that nobody makes again, and in some runs a worker that is replaced. Operator and workers write again within 2 s what was lost, and up to 6 s later a new configuration comes, which may take a revision that was given out before.

--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -51,6 +51,7 @@
 		{"store-down", disturbing(storeFault((*imitator.Store).SetDown))},
 		{"store-mute", disturbing(storeFault((*imitator.Store).SetDropResponses))},
 		{"store-slow", disturbing(slowStore)},
+		{"store-restored", restoreStore},
 		{"store-compacts", disturbing(compactStore)},
 		{"store-refuses-instance", refuseInstance},
 		{"store-watches-silent", silenceWatches},
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -40,6 +40,9 @@
 	c        *qt.C
 	launcher *launcher.Launcher
 	store    *imitator.Store
+	// firstBackup is the time of the oldest copy that the store may be restored from.
+	firstBackup  time.Time
+	restoreMutex sync.Mutex // Held by the fault that restores the store.
 
 	mutex        sync.Mutex // Guards the fields below.
 	workers      []*proxiedWorker
@@ -120,6 +123,7 @@
 	for n := range workerCount {
 		f.addWorker(fmt.Sprintf("worker-%d", n))
 	}
+	f.firstBackup = time.Now()
 	for n := range instanceCount(c) {
 		f.addInstance(fmt.Sprintf("edge-%d", n), zones[n%len(zones)])
 	}
