--- a/registrar/address.go
+++ b/registrar/address.go
@@ -5,6 +5,9 @@
 	"net/netip"
 )
 
+// maxIDBytes is the length of the longest ID, which is part of a key in the store.
+const maxIDBytes = 200
+
 // AddressError reports a text that is not an IP address with a port to connect to.
 type AddressError struct {
 	text   string
@@ -28,3 +31,17 @@
 	}
 	return address, nil
 }
+
+// IsValidID reports whether an ID can be sent in a header field: it is printable ASCII
+// without spaces.
+func IsValidID(id string) bool {
+	if id == "" || len(id) > maxIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- a/registrar/address_test.go
+++ b/registrar/address_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"strings"
 	"testing"
 
 	"burdocklane/registrar"
@@ -44,3 +45,25 @@
 		})
 	}
 }
+
+// Guards against IDs that would add or break lines of a request's header.
+func TestIsValidID(t *testing.T) {
+	tests := []struct {
+		name, id string
+		valid    bool
+	}{
+		{"an ID", "i-7f3a91c2", true},
+		{"the longest", strings.Repeat("x", 200), true},
+		{"too long", strings.Repeat("x", 201), false},
+		{"empty", "", false},
+		{"a line break", "a\r\nX-Other: 1", false},
+		{"a space", "a b", false},
+		{"not ASCII", "ä", false},
+		{"the delete character", "a\x7f", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, registrar.IsValidID(test.id), qt.Equals, test.valid)
+		})
+	}
+}
