Ignore instance entries that name no reachable instance

registrant.Parse accepted every JSON object, and null. An entry without an ID, with the address of no host or with 1e308 CPUs became an instance: with the most CPUs of its zone it was chosen as a coordinator, from which others read the store's keys and request assignments. An address with a host name made each rebuild of the gossiper's view, and each assignment request, wait for a lookup. Two entries could claim the same ID.

Parse now requires an ID that is also the end of the key, IP addresses, and a number of CPUs that a machine can have. The error has a type.

Before, with a stub of the error type: TestParse/null, no_ID, the_ID_of_another_key, no_address, a_host_name, port_out_of_range, a_host_name_for_assignment_requests, more_CPUs_than_any_machine_has and negative_CPUs: "values are not equal: got: bool(true) want: bool(false)". Deep nesting, bytes and 1e309 were errors before, of another type.

--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -6,8 +6,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +27,9 @@
 	leaseTTL      = 10 * time.Minute
 	renewInterval = 3 * time.Minute
 	retryDelay    = 2 * time.Second
+	// maxCPUs is more than a machine has. An entry beyond it would make its instance
+	// the first coordinator of its zone.
+	maxCPUs = 1 << 16
 )
 
 // entry is the JSON value of an instance's entry in the store.
@@ -37,15 +42,47 @@
 	Zone             string  `json:"availability-zone"`
 }
 
-// Parse decodes an instance's entry.
+// EntryError reports an instance's entry that is invalid.
+type EntryError struct {
+	key    string
+	reason string
+}
+
+// Error implements error.
+func (e *EntryError) Error() string { return fmt.Sprintf("entry %s: %s", e.key, e.reason) }
+
+// Parse decodes an instance's entry. The error is an *EntryError.
 func Parse(key string, value []byte) (registrar.Instance, error) {
 	var e entry
 	if err := json.Unmarshal(value, &e); err != nil {
-		return registrar.Instance{}, errors.Wrapf(err, "entry %s", key)
+		return registrar.Instance{}, &EntryError{key: key, reason: err.Error()}
+	}
+	if reason := e.invalidReason(key); reason != "" {
+		return registrar.Instance{}, &EntryError{key: key, reason: reason}
 	}
 	return registrar.NewInstance(registrar.InstanceID(e.ID), e.Peers, "", registrar.NewLocality(e.Region, e.Zone), false).WithSchedulerAddress(e.SchedulerAddress).WithCPUs(e.Power), nil
 }
 
+// invalidReason returns why the entry does not describe an instance, or "".
+func (e entry) invalidReason(key string) string {
+	if !registrar.IsValidID(e.ID) || !strings.HasSuffix(key, "/"+e.ID) {
+		return "id is not that of the key"
+	}
+	if e.Power < 0 || e.Power > maxCPUs {
+		return "power is out of range"
+	}
+	if _, err := registrar.ParseAddress(e.Peers); err != nil {
+		return "peers: " + err.Error()
+	}
+	if e.SchedulerAddress == "" { // Instances without a scheduler have none.
+		return ""
+	}
+	if _, err := registrar.ParseAddress(e.SchedulerAddress); err != nil {
+		return "rulings: " + err.Error()
+	}
+	return ""
+}
+
 // Registrant writes the entry of this instance and renews its lease. Once the store
 // has gone back to an older copy, the lease counts as expired, and the entry is
 // written again with a new one.
--- a/registrant/registrant_test.go
+++ b/registrant/registrant_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +14,7 @@
 	"burdocklane/storer"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 )
@@ -25,6 +27,46 @@
 	}
 }
 
+// Guards against entries of another writer that name no instance, or one that no peer
+// can reach and that would still be chosen as a coordinator.
+func TestParse(t *testing.T) {
+	const good = `{"id":"i","peers":"10.0.0.1:1","rulings":"10.0.0.1:2","power":0.5,"region":"r","availability-zone":"z"}`
+	tests := []struct {
+		name  string
+		edit  [2]string
+		valid bool
+	}{
+		{"good", [2]string{}, true},
+		{"an unknown field", [2]string{`{`, `{"new":[1],`}, true},
+		{"no address for assignment requests", [2]string{`"10.0.0.1:2"`, `""`}, true},
+		{"null", [2]string{good, "null"}, false},
+		{"no ID", [2]string{`"id":"i",`, ``}, false},
+		{"the ID of another key", [2]string{`"id":"i"`, `"id":"j"`}, false},
+		{"no address", [2]string{`"10.0.0.1:1"`, `""`}, false},
+		{"a host name", [2]string{`"10.0.0.1:1"`, `"localhost:1"`}, false},
+		{"port out of range", [2]string{`"10.0.0.1:1"`, `"10.0.0.1:65536"`}, false},
+		{"a host name for assignment requests", [2]string{`"10.0.0.1:2"`, `"localhost:2"`}, false},
+		{"more CPUs than any machine has", [2]string{`0.5`, `1e308`}, false},
+		{"CPUs beyond a number", [2]string{`0.5`, `1e309`}, false},
+		{"negative CPUs", [2]string{`0.5`, `-1`}, false},
+		{"deep nesting", [2]string{`{`, `{"new":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `,`}, false},
+		{"bytes", [2]string{good, "\x00\xff"}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, err := registrant.Parse("own/i", []byte(strings.Replace(good, test.edit[0], test.edit[1], 1)))
+			c.Assert(err == nil, qt.Equals, test.valid, qt.Commentf("%v", err))
+			if test.valid {
+				c.Assert(got.ID(), qt.Equals, registrar.InstanceID("i"))
+				return
+			}
+			var entryErr *registrant.EntryError
+			c.Assert(errors.As(err, &entryErr), qt.IsTrue)
+		})
+	}
+}
+
 func TestEntryIsWrittenUnlessPresent(t *testing.T) {
 	tests := []struct {
 		name      string
