Read the other entries of the platform's list if one is odd

One entry with a field of another type made lister.Decode reject the whole list. The instance kept the last one and asked again every half second to a second, as long as the entry was there.

Entries are now decoded one by one; those that cannot be, or that have no valid ID, are left out and counted. The lister logs the count when it grows. The emulated platform still rejects a registration with such an entry.

Before: TestDecodeIgnoresOddEntries/a_number_beyond_any_type: "json: cannot unmarshal number 1e999 into Go struct field workerMessage.workers.slots of type int", and the other cases except null; null and an entry without an ID became a worker without an ID.

--- a/emulator/register.go
+++ b/emulator/register.go
@@ -22,11 +22,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	list, err := lister.Decode(data)
+	list, ignored, err := lister.Decode(data)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if ignored > 0 {
+		http.Error(w, "an entry is invalid", http.StatusBadRequest)
+		return
+	}
 	for _, worker := range list.Workers() {
 		p.SetWorker(worker)
 	}
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -40,6 +40,7 @@
 	onList        func(registrar.List)
 	log           zerolog.Logger
 	version       int64
+	ignored       int // The number of odd entries in the last list.
 	lastContact   atomic.Int64
 	polls         atomic.Int64
 	bytesReceived atomic.Int64
@@ -122,16 +123,25 @@
 		return errors.Wrap(err, "platform's list")
 	}
 	l.bytesReceived.Add(int64(len(data)))
-	list, err := Decode(data)
+	list, ignored, err := Decode(data)
 	if err != nil {
 		return err
 	}
+	l.logIgnored(ignored)
 	l.lastContact.Store(time.Now().UnixNano())
 	l.version = list.Version()
 	l.onList(list)
 	return nil
 }
 
+// logIgnored logs the number of odd entries of a list if it has changed.
+func (l *Lister) logIgnored(entries int) {
+	if entries > l.ignored {
+		l.log.Warn().Int("entries", entries).Msg("entries of the platform's list are invalid; ignoring them")
+	}
+	l.ignored = entries
+}
+
 // Fetch reads the list once.
 func Fetch(ctx context.Context, endpoint string) (registrar.List, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, endpoint, http.NoBody)
@@ -150,5 +160,6 @@
 	if err != nil {
 		return registrar.List{}, errors.Wrap(err, "platform's list")
 	}
-	return Decode(data)
+	list, _, err := Decode(data)
+	return list, err
 }
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -1,6 +1,7 @@
 package lister_test
 
 import (
+	"strings"
 	"testing"
 
 	"burdocklane/lister"
@@ -17,17 +18,42 @@
 		[]registrar.Instance{registrar.NewInstance("i", "10.0.0.2:1", "10.0.0.2:2", locality, false)})
 	data, err := lister.Encode(list)
 	c.Assert(err, qt.IsNil)
-	decoded, err := lister.Decode(data)
+	decoded, ignored, err := lister.Decode(data)
 	c.Assert(err, qt.IsNil)
+	c.Assert(ignored, qt.Equals, 0)
 	c.Assert(decoded.Version(), qt.Equals, int64(7))
 	c.Assert(decoded.Workers()[0] == list.Workers()[0], qt.IsTrue)
 	c.Assert(decoded.Instances()[0] == list.Instances()[0], qt.IsTrue)
 }
 
+// Guards against an odd entry that makes the whole list unreadable.
+func TestDecodeIgnoresOddEntries(t *testing.T) {
+	const worker = `{"id":"w","service":"s","address":"10.0.0.1:80","slots":6,"state":"live"}`
+	const instance = `{"id":"i","peers":"10.0.0.2:1","state":"live"}`
+	tests := []struct{ name, odd string }{
+		{"a field of another type", `{"id":"x","slots":["6"]}`},
+		{"a number beyond any type", `{"id":"x","slots":1e999}`},
+		{"no ID", `{"slots":6}`},
+		{"a line break in the ID", `{"id":"x\r\ny"}`},
+		{"null", `null`},
+		{"a list", `[1]`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			list, ignored, err := lister.Decode([]byte(`{"version":3,"workers":[` + test.odd + `,` + worker + `],"instances":[` + instance + `,` + strings.Replace(test.odd, "slots", "peers", 1) + `]}`))
+			c.Assert(err, qt.IsNil)
+			c.Assert(ignored, qt.Equals, 2)
+			c.Assert(list.Workers(), qt.HasLen, 1)
+			c.Assert(list.Workers()[0].ID(), qt.Equals, registrar.WorkerID("w"))
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"version": 1, "workers": [{"id": "w", "slots": -1}], "instances": [{}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		list, err := lister.Decode(data)
+		list, _, err := lister.Decode(data)
 		if err != nil {
 			return
 		}
--- a/lister/message.go
+++ b/lister/message.go
@@ -41,25 +41,40 @@
 	Instances []instanceMessage `json:"instances"`
 }
 
+// receivedMessage is a listMessage whose entries are decoded one by one.
+type receivedMessage struct {
+	Version   int64             `json:"version"`
+	Workers   []json.RawMessage `json:"workers"`
+	Instances []json.RawMessage `json:"instances"`
+}
+
 // maxSlots is the maximum number of concurrent calls that a worker can declare.
 const maxSlots = 1 << 12
 
 // Decode parses a list. It limits each worker's slots to the range from 1 to
-// maxSlots.
-func Decode(data []byte) (registrar.List, error) {
-	var message listMessage
+// maxSlots, and returns the number of entries that it has ignored: those that cannot
+// be decoded or have no valid ID.
+func Decode(data []byte) (list registrar.List, ignored int, err error) {
+	var message receivedMessage
 	if err := json.Unmarshal(data, &message); err != nil {
-		return registrar.List{}, errors.Wrap(err, "decode the platform's list")
+		return registrar.List{}, 0, errors.Wrap(err, "decode the platform's list")
 	}
 	workers := make([]registrar.Worker, 0, len(message.Workers))
-	for _, w := range message.Workers {
-		workers = append(workers, w.worker())
+	for _, raw := range message.Workers {
+		var w workerMessage
+		if err := json.Unmarshal(raw, &w); err == nil && registrar.IsValidID(w.ID) {
+			workers = append(workers, w.worker())
+		}
 	}
 	instances := make([]registrar.Instance, 0, len(message.Instances))
-	for _, i := range message.Instances {
-		instances = append(instances, i.instance())
+	for _, raw := range message.Instances {
+		var i instanceMessage
+		if err := json.Unmarshal(raw, &i); err == nil && registrar.IsValidID(i.ID) {
+			instances = append(instances, i.instance())
+		}
 	}
-	return registrar.NewList(message.Version, workers, instances), nil
+	ignored = len(message.Workers) - len(workers) + len(message.Instances) - len(instances)
+	return registrar.NewList(message.Version, workers, instances), ignored, nil
 }
 
 func (m workerMessage) worker() registrar.Worker {
