Take a response without the request's ID for that of no request

On a kept connection, a worker that wrote an earlier refusal once more without X-Request-Id had it taken for the response to the request that it was running: the caller was told "not run, try again" (REFUSED), or the request went to a second worker (TWICE). The same held for a repeated response to a health check, which has no ID, and for one with two IDs of which the first was right.

A response now belongs to a request with an ID only if it carries exactly that ID. One without an ID is skipped like one to another request, unless the connection has carried nothing else: then no earlier response can arrive, the response is delivered as not identified, and the connection is not used again. A worker that never echoes the ID thus still works, with a connection for each request.

Before: TestRepeatedResponsesAreNotTakenForTheNext/ a_refusal_without_an_ID: "values are not equal: got: "refused" want: "run""; a_refusal_with_an_empty_ID, a_refusal_with_the_IDs_of_two_requests and the_response_to_a_health_check alike.

--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -13,7 +13,11 @@
 	conn      *conn
 	request   *http.Request
 	stopAbort func() bool
-	writeDone chan error // Receives the result of a concurrent write; nil if there is none.
+	// firstOnConn reports that the connection has carried no other request: no response
+	// to an earlier one can arrive.
+	firstOnConn bool
+	identified  bool       // The response carries the ID of the request.
+	writeDone   chan error // Receives the result of a concurrent write; nil if there is none.
 }
 
 func (x *exchange) run() (*http.Response, error) {
@@ -88,14 +92,25 @@
 	return nil, errors.New("too many responses before the one to this request")
 }
 
+// isResponseToRequest reports whether the response belongs to the request, and records
+// whether it is identified. A response without an ID may be one to an earlier request
+// or health check that the worker has sent once more, unless there was none.
 func (x *exchange) isResponseToRequest(response *http.Response) bool {
 	if x.sender.echoHeader == "" {
+		x.identified = true
 		return true
 	}
-	got := response.Header.Get(x.sender.echoHeader)
-	return got == "" || got == x.request.Header.Get(x.sender.echoHeader)
+	id := x.requestID()
+	got := response.Header.Values(x.sender.echoHeader)
+	if len(got) == 0 || (len(got) == 1 && got[0] == "") {
+		return id == "" || x.firstOnConn
+	}
+	x.identified = len(got) == 1 && got[0] == id
+	return x.identified
 }
 
+func (x *exchange) requestID() string { return x.request.Header.Get(x.sender.echoHeader) }
+
 // deliver returns the response with its body buffered, or streamed from the
 // connection if it is long or buffering is disabled.
 func (x *exchange) deliver(response *http.Response) (*http.Response, error) {
@@ -114,10 +129,15 @@
 	return response, nil
 }
 
+// isReusable reports whether the connection can carry another request after this one
+// as far as the response tells: a worker that leaves out the ID of a request cannot
+// be told from one that repeats a response.
+func (x *exchange) isReusable() bool { return x.identified || x.requestID() == "" }
+
 // finish ends the exchange. The connection is reused if the whole request was
 // written and the whole response was read.
 func (x *exchange) finish(response *http.Response, atEOF bool) {
-	if x.stopAbort() && atEOF && x.isWritten() {
+	if x.stopAbort() && atEOF && x.isWritten() && x.isReusable() {
 		x.sender.release(x.request.URL.Host, x.conn, response)
 		return
 	}
--- a/sender/misbehaviour_test.go
+++ b/sender/misbehaviour_test.go
@@ -73,6 +73,91 @@
 	return "unsent"
 }
 
+const (
+	unidentifiedRefusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 7\r\n\r\nrefused"
+	healthResponse      = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nhealthy"
+)
+
+func refusal(id string) string {
+	return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 7\r\n\r\nrefused"
+}
+
+// Guards against taking an earlier response that a worker writes once more for the
+// response to the request that it is running.
+func TestRepeatedResponsesAreNotTakenForTheNext(t *testing.T) {
+	tests := []struct {
+		name   string
+		ids    []string // Of the requests; the worker writes repeated before its response to the last one.
+		first  func(id string) string
+		repeat string
+	}{
+		{"a refusal of another request", []string{"1", "2"}, refusal, refusal("1")},
+		{"a refusal without an ID", []string{"1", "2"}, refusal, unidentifiedRefusal},
+		{"a refusal with an empty ID", []string{"1", "2"}, refusal, refusal("")},
+		{"a refusal with the IDs of two requests", []string{"1", "2"}, refusal, strings.Replace(refusal("2"), "Content-Length", "X-Request-Id: 1\r\nContent-Length", 1)},
+		{"the response to a health check", []string{"", "2"}, func(string) string { return healthResponse }, healthResponse},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			answered := map[string]bool{}
+			address, _ := serveConnections(c, func(conn net.Conn, reader *bufio.Reader, nth int64) {
+				for n := 1; ; n++ {
+					r, ok := readRequest(reader)
+					if !ok {
+						return
+					}
+					id := r.Header.Get("X-Request-Id")
+					switch {
+					case n == len(test.ids):
+						io.WriteString(conn, test.repeat)
+						io.WriteString(conn, response(id, "run"))
+					case nth == 1 && !answered[id]:
+						answered[id] = true
+						io.WriteString(conn, test.first(id))
+					default:
+						io.WriteString(conn, response(id, "run"))
+					}
+				}
+			})
+			s := sender.New(sender.WithResponseBuffer(1<<10), sender.WithEchoHeader("X-Request-Id"))
+			defer s.Close()
+			for n, id := range test.ids {
+				r := requestWithID(address, id)
+				if id == "" {
+					r.Header = http.Header{}
+				}
+				got := send(s, r)
+				if n == len(test.ids)-1 {
+					c.Assert(got, qt.Equals, "run")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a health check that takes the response to a request for its own.
+func TestHealthCheckDoesNotTakeResponseToRequest(t *testing.T) {
+	c := qt.New(t)
+	address, _ := serveConnections(c, func(conn net.Conn, reader *bufio.Reader, _ int64) {
+		for {
+			r, ok := readRequest(reader)
+			if !ok {
+				return
+			}
+			if id := r.Header.Get("X-Request-Id"); id != "" {
+				io.WriteString(conn, response(id, "run"))
+				continue
+			}
+			io.WriteString(conn, refusal("1")+healthResponse)
+		}
+	})
+	s := sender.New(sender.WithResponseBuffer(1<<10), sender.WithEchoHeader("X-Request-Id"))
+	defer s.Close()
+	c.Assert(send(s, requestWithID(address, "1")), qt.Equals, "run")
+	c.Assert(send(s, request("GET", address, "", http.Header{})), qt.Equals, "healthy")
+}
+
 func TestResponsesOfMisbehavingWorkers(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -38,7 +38,10 @@
 
 // Responded is the outcome of an attempt whose response header was received. The
 // body is still to be read and closed.
-type Responded struct{ response *http.Response }
+type Responded struct {
+	response   *http.Response
+	identified bool
+}
 
 // Unsent is the outcome of an attempt that wrote no byte of the request to a
 // connection.
@@ -55,6 +58,10 @@
 // Response returns the worker's response.
 func (a Responded) Response() *http.Response { return a.response }
 
+// IsIdentified reports whether the response carries the ID of the request. If no echo
+// header is set, each response counts as identified.
+func (a Responded) IsIdentified() bool { return a.identified }
+
 // Err returns why the request was not sent.
 func (u Unsent) Err() error { return u.err }
 
@@ -98,7 +105,8 @@
 func WithResponseBuffer(maxBytes int64) Option { return func(s *Sender) { s.maxBuffered = maxBytes } }
 
 // WithEchoHeader names a header that workers copy from a request to its response. A
-// response with a different value belongs to an earlier request and is skipped.
+// response with a different value belongs to an earlier request and is skipped, and
+// so is one without a value, except on a new connection.
 func WithEchoHeader(header string) Option { return func(s *Sender) { s.echoHeader = header } }
 
 // New returns a Sender without open connections.
@@ -168,10 +176,10 @@
 	}
 	writtenBefore := c.bytesWritten.Load()
 	stopAbort := context.AfterFunc(ctx, func() { c.abort() })
-	x := &exchange{sender: s, conn: c, request: request, stopAbort: stopAbort}
+	x := &exchange{sender: s, conn: c, request: request, stopAbort: stopAbort, firstOnConn: writtenBefore == 0}
 	response, err := x.run()
 	if err == nil {
-		return Responded{response: response}
+		return Responded{response: response, identified: x.identified}
 	}
 	stopAbort()
 	bytesWritten := c.abort()
