Send another attempt of a call on another connection than a refused one

If a worker refused a call and got it again on the same connection, a repeated refusal of the first attempt carried the ID of the second one as well. It was taken for the refusal of the attempt that the worker was running: the caller was told "not run" (REFUSED), or the call went to another worker (TWICE).

No check of the ID can tell these responses apart, so a connection remembers the IDs of the last 16 requests that got an error on it, and another attempt of such a call opens a new connection, on which nothing can be repeated.

Before: TestRepeatedResponsesAreNotTakenForTheNext/ a_refusal_of_an_earlier_attempt_of_the_same_request: "values are not equal: got: "refused" want: "run"", and a_refusal_of_an_earlier_attempt,_after_other_requests alike.

--- a/sender/conn.go
+++ b/sender/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -14,6 +15,10 @@
 const (
 	connBufferBytes   = 4 << 10
 	keepAliveInterval = 15 * time.Second
+	// maxErrorIDs bounds the IDs that a connection remembers.
+	maxErrorIDs = 16
+	// minErrorStatus is the first HTTP status that counts as an error.
+	minErrorStatus = 400
 )
 
 // conn is a connection to a worker. It carries one request at a time.
@@ -24,6 +29,9 @@
 	bytesWritten atomic.Int64
 	aborted      atomic.Bool
 	traffic      *atomic.Int64
+	// errorIDs holds the IDs of the last requests that got an error, the latest one last.
+	// It is used only by the attempt that has the connection.
+	errorIDs []string
 	// idleUntil is when an idle connection expires: the worker may close it after.
 	idleUntil time.Time
 }
@@ -64,6 +72,22 @@
 	return bytesWritten
 }
 
+// rememberError remembers that the request with the ID, if it has one, got an error.
+func (c *conn) rememberError(id string) {
+	if id == "" {
+		return
+	}
+	if len(c.errorIDs) == maxErrorIDs {
+		c.errorIDs = slices.Delete(c.errorIDs, 0, 1)
+	}
+	c.errorIDs = append(c.errorIDs, id)
+}
+
+// mayRepeatError reports whether an error that the worker sends once more could be
+// taken for the response to a request with the ID: it is another attempt of the same
+// call.
+func (c *conn) mayRepeatError(id string) bool { return slices.Contains(c.errorIDs, id) }
+
 // isHealthy reports whether an idle connection is open and has no data to read:
 // data that arrives without a request is not the response to the next one.
 func (c *conn) isHealthy() bool {
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -83,6 +83,9 @@
 			continue
 		}
 		if x.isResponseToRequest(response) {
+			if response.StatusCode >= minErrorStatus {
+				x.conn.rememberError(x.requestID())
+			}
 			return response, nil
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
@@ -109,7 +112,7 @@
 	return x.identified
 }
 
-func (x *exchange) requestID() string { return x.request.Header.Get(x.sender.echoHeader) }
+func (x *exchange) requestID() string { return x.sender.requestID(x.request) }
 
 // deliver returns the response with its body buffered, or streamed from the
 // connection if it is long or buffering is disabled.
--- a/sender/misbehaviour_test.go
+++ b/sender/misbehaviour_test.go
@@ -94,6 +94,8 @@
 		{"a refusal of another request", []string{"1", "2"}, refusal, refusal("1")},
 		{"a refusal without an ID", []string{"1", "2"}, refusal, unidentifiedRefusal},
 		{"a refusal with an empty ID", []string{"1", "2"}, refusal, refusal("")},
+		{"a refusal of an earlier attempt of the same request", []string{"1", "1"}, refusal, refusal("1")},
+		{"a refusal of an earlier attempt, after other requests", []string{"1", "2", "3", "1"}, refusal, refusal("1")},
 		{"a refusal with the IDs of two requests", []string{"1", "2"}, refusal, strings.Replace(refusal("2"), "Content-Length", "X-Request-Id: 1\r\nContent-Length", 1)},
 		{"the response to a health check", []string{"", "2"}, func(string) string { return healthResponse }, healthResponse},
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -154,22 +154,38 @@
 	return conns.(*connStack)
 }
 
-// connect returns an idle connection to the worker, or a new one.
-func (s *Sender) connect(ctx context.Context, address string) (*conn, error) {
+// requestID returns the value of the echo header, or "" if there is none.
+func (s *Sender) requestID(request *http.Request) string { return request.Header.Get(s.echoHeader) }
+
+// connect returns an idle connection to the worker, or a new one. It does not return
+// one on which an earlier attempt of the same call got an error.
+func (s *Sender) connect(ctx context.Context, address, id string) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
 	if c := s.connStack(address).popHealthy(time.Now()); c != nil {
-		return c, nil
+		if id == "" || !c.mayRepeatError(id) {
+			return c, nil
+		}
+		s.park(address, c)
 	}
 	return s.dialer.dial(ctx, address)
 }
 
+// park puts an idle connection into the pool.
+func (s *Sender) park(address string, c *conn) {
+	conns := s.connStack(address)
+	conns.push(c)
+	if s.closed.Load() {
+		conns.closeAll()
+	}
+}
+
 // Send sends the request once, to the worker at the host of its URL. The end of
 // the context ends the attempt, including the reading of the response body.
 func (s *Sender) Send(ctx context.Context, request *http.Request) Outcome {
 	address := request.URL.Host
-	c, err := s.connect(ctx, address)
+	c, err := s.connect(ctx, address, s.requestID(request))
 	if err != nil {
 		closeBody(request)
 		return Unsent{err: errors.Wrapf(err, "connect to %s", address)}
@@ -202,16 +218,13 @@
 
 // release returns a connection to the pool, or closes it if it cannot be reused.
 func (s *Sender) release(address string, c *conn, response *http.Response) {
-	conns := s.connStack(address)
-	if response.Close || s.closed.Load() || c.aborted.Load() || c.reader.Buffered() > 0 || conns.size.Load() >= maxIdlePerWorker {
+	idle := s.connStack(address).size.Load()
+	if response.Close || s.closed.Load() || c.aborted.Load() || c.reader.Buffered() > 0 || idle >= maxIdlePerWorker {
 		c.Close()
 		return
 	}
 	c.idleUntil = time.Now().Add(s.idleTimeoutFor(response.Header))
-	conns.push(c)
-	if s.closed.Load() {
-		conns.closeAll()
-	}
+	s.park(address, c)
 }
 
 // idleTimeoutFor returns how long a connection may stay idle: the idle timeout,
