Believe a worker's refusal only with the ID of the request

A response that says "not run" (the not-run header, 421, or a status of the service's contract) was believed without the request's ID.

Such a response now counts as lost: the call may have run, so that only an idempotent one gets another attempt. Workers echo the ID, so that a refusal that is surely the answer is unaffected; a 421 without an ID no longer marks the worker as leaving.

The workers of TestWorkerResponsesUnderDialect and TestRejectionsCarryRetryAfter did not echo the ID, other than those of any platform that the dialect is for. They do now; the checks are the same, and one more counts the requests to both workers.

Before: TestWorkerResponsesUnderDialect/ a_refusal_without_the_ID_of_the_request_becomes_a_502...: "values are not equal: got: int64(2) want: int64(1)" requests, and a_421_without_the_ID_of_the_request_becomes_a_502 alike.

--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -25,6 +25,11 @@
 // was not run, while the worker has not set the not-run header.
 var errAmbiguous = errors.New("worker response does not say whether the request was run")
 
+// errUnidentified is returned for a response that states that the request was not
+// run without the request's ID: the worker may have sent that of another request once
+// more.
+var errUnidentified = errors.New("worker refuses a request without its ID")
+
 // exchange is a caller's request together with the responses to its attempts.
 type exchange struct {
 	handler *Handler
@@ -41,7 +46,7 @@
 func (x *exchange) transmit(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result {
 	switch o := x.handler.sender.Send(ctx, x.workerRequest(call, worker)).(type) {
 	case sender.Responded:
-		return x.handleResponse(attempt, call, worker, o.Response())
+		return x.handleResponse(attempt, call, worker, o)
 	case sender.Unsent:
 		return retrier.NewUnsent(o.Err())
 	case sender.Lost:
@@ -50,8 +55,13 @@
 	return retrier.NewLost(nil)
 }
 
-func (x *exchange) handleResponse(attempt int, call *classifier.Call, worker registrar.Worker, response *http.Response) retrier.Result {
-	dialect := x.handler.dialect
+func (x *exchange) handleResponse(attempt int, call *classifier.Call, worker registrar.Worker, responded sender.Responded) retrier.Result {
+	dialect, response := x.handler.dialect, responded.Response()
+	declined := call.Service().IsNotRunStatus(response.StatusCode) || dialect.isDeclined(response)
+	if declined && !responded.IsIdentified() {
+		response.Body.Close()
+		return retrier.NewLost(errUnidentified)
+	}
 	if response.Header.Get(HeaderDrain) != "" || dialect.isMisdirected(response) {
 		response.Header.Del(HeaderDrain)
 		x.handler.markDraining(call, worker)
@@ -73,7 +83,7 @@
 	x.mutex.Lock()
 	x.responses[attempt] = response
 	x.mutex.Unlock()
-	if call.Service().IsNotRunStatus(response.StatusCode) || dialect.isDeclined(response) {
+	if declined {
 		return retrier.NewDeclined(response.StatusCode, parseRetryAfter(response.Header))
 	}
 	return retrier.NewAnswered(response.StatusCode)
--- a/listener/dialect_test.go
+++ b/listener/dialect_test.go
@@ -87,35 +87,56 @@
 		worker      http.HandlerFunc // The other worker always succeeds.
 		want        []int            // The statuses that the caller may receive.
 		maxRequests int64            // The maximum number of requests to the worker under test.
+		once        bool             // Whether only one of the workers may receive the request.
 	}{
 		{"a success without a signature is not forwarded", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			io.WriteString(w, "good")
-		}, []int{200, 502}, 1},
+		}, []int{200, 502}, 1, true},
 		{"a success without a signature is retried if the request is idempotent", descriptor.Idempotent{}, func(w http.ResponseWriter, _ *http.Request) {
 			io.WriteString(w, "good")
-		}, []int{200}, 1},
+		}, []int{200}, 1, false},
 		{"a response with the not-run header is retried", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, []int{200}, 1},
+		}, []int{200}, 1, false},
 		{"a request to an address that another worker uses is retried", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusMisdirectedRequest)
-		}, []int{200}, 1},
+		}, []int{200}, 1, false},
 		{"an error of the worker is forwarded", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Signed", "yes")
 			w.WriteHeader(http.StatusInternalServerError)
-		}, []int{200, 500}, 1},
+		}, []int{200, 500}, 1, true},
+		{"a refusal without the ID of the request becomes a 502, since it may be that of another request", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Del("X-Request-Id")
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, []int{200, 502}, 1, true},
+		{"a 421 without the ID of the request becomes a 502", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Del("X-Request-Id")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, []int{200, 502}, 1, true},
+		{"a refusal without the ID of the request is retried if the request is idempotent", descriptor.Idempotent{}, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Del("X-Request-Id")
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, []int{200}, 1, false},
 		{"a 503 without the not-run header becomes a 502, since the request may have been run", descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusServiceUnavailable)
-		}, []int{200, 502}, 1},
+		}, []int{200, 502}, 1, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			for n := range 4 { // Either worker may receive the first attempt.
 				var requests atomic.Int64
-				bad := func(w http.ResponseWriter, r *http.Request) { requests.Add(1); test.worker(w, r) }
-				address := startDialectListener(c, test.repeat, bad, good)
+				var goodRequests atomic.Int64
+				bad := func(w http.ResponseWriter, r *http.Request) {
+					requests.Add(1)
+					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+					test.worker(w, r)
+				}
+				counted := func(w http.ResponseWriter, r *http.Request) { goodRequests.Add(1); good(w, r) }
+				address := startDialectListener(c, test.repeat, bad, counted)
 				request, _ := http.NewRequest("POST", "http://"+address+"/a/1", strings.NewReader("b"))
 				request.Host = "h.example"
 				request.Header.Set("X-Request-Id", strconv.Itoa(n))
@@ -128,6 +149,9 @@
 				}
 				c.Assert(found, qt.IsTrue, qt.Commentf("status %d", response.StatusCode))
 				c.Assert(requests.Load() <= test.maxRequests, qt.IsTrue)
+				if test.once {
+					c.Assert(requests.Load()+goodRequests.Load(), qt.Equals, int64(1))
+				}
 			}
 		})
 	}
@@ -163,7 +187,8 @@
 
 func TestRejectionsCarryRetryAfter(t *testing.T) {
 	c := qt.New(t)
-	address := startDialectListener(c, descriptor.AtMostOnce{}, func(w http.ResponseWriter, _ *http.Request) {
+	address := startDialectListener(c, descriptor.AtMostOnce{}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
