Bound the header of a worker's response

net/http.ReadResponse reads a status line and header fields without a limit, other than the transport of net/http. A worker whose bytes did not end made an attempt, or a health check, take memory as fast as the link allows until its deadline, far beyond the limit of a process.

The connection now reads at most 64 KiB until the end of the header of each response, interim ones included, and then fails the attempt with a *HeadTooLongError. The test shows in addition that chunk extensions, trailers, interim and skipped responses were bounded before, that an attempt ends with its context during a body without end, which its reader sees as broken, and that none of these connections is used again. A streamed response of 16 MiB and one with a header of 30 KiB pass.

--- a/sender/conn.go
+++ b/sender/conn.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"math"
 	"net"
+	"net/http"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -17,10 +20,21 @@
 	keepAliveInterval = 15 * time.Second
 	// maxErrorIDs bounds the IDs that a connection remembers.
 	maxErrorIDs = 16
+	// maxHeadBytes bounds the status line and the header fields of a response.
+	maxHeadBytes = 64 << 10
+	noHeadLimit  = math.MaxInt
 	// minErrorStatus is the first HTTP status that counts as an error.
 	minErrorStatus = 400
 )
 
+// HeadTooLongError reports a response whose header does not end within a limit.
+type HeadTooLongError struct{ limit int }
+
+// Error implements error.
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("response header is longer than %d bytes", e.limit)
+}
+
 // conn is a connection to a worker. It carries one request at a time.
 type conn struct {
 	net.Conn
@@ -32,12 +46,15 @@
 	// errorIDs holds the IDs of the last requests that got an error, the latest one last.
 	// It is used only by the attempt that has the connection.
 	errorIDs []string
+	// headBytesLeft is how much more of a response's header may be read. It is set to
+	// noHeadLimit while a body is read.
+	headBytesLeft int
 	// idleUntil is when an idle connection expires: the worker may close it after.
 	idleUntil time.Time
 }
 
 func newConn(c net.Conn, traffic *atomic.Int64) *conn {
-	n := &conn{Conn: c, traffic: traffic}
+	n := &conn{Conn: c, traffic: traffic, headBytesLeft: noHeadLimit}
 	n.reader = bufio.NewReaderSize(n, connBufferBytes)
 	n.writer = bufio.NewWriterSize(n, connBufferBytes)
 	return n
@@ -54,13 +71,27 @@
 	return c.Conn.Write(p)
 }
 
-// Read reads from the connection and counts the received bytes.
+// Read reads from the connection and counts the received bytes. The error is a
+// *HeadTooLongError if a header does not end within its limit.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	if c.headBytesLeft == 0 {
+		return 0, &HeadTooLongError{limit: maxHeadBytes}
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
 	c.traffic.Add(int64(n))
+	if c.headBytesLeft != noHeadLimit {
+		c.headBytesLeft -= n
+	}
 	return n, err
 }
 
+// readHead reads the header of a response. Its body is still to be read.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.headBytesLeft = maxHeadBytes
+	defer func() { c.headBytesLeft = noHeadLimit }()
+	return http.ReadResponse(c.reader, request)
+}
+
 // abort closes the connection and returns the number of bytes written until
 // then. A write that is not counted in it sends nothing: Write adds to
 // bytesWritten before it loads aborted, and abort stores aborted before it loads
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -75,7 +75,7 @@
 // responses to earlier requests.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxSkippedResponses {
-		response, err := http.ReadResponse(x.conn.reader, x.request)
+		response, err := x.conn.readHead(x.request)
 		if err != nil {
 			return nil, err
 		}
