--- a/holder/holder.go
+++ b/holder/holder.go
@@ -4,9 +4,29 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 )
 
+// TooLongError reports a body that does not end within a limit.
+type TooLongError struct{ limit int64 }
+
+// Error implements error.
+func (e *TooLongError) Error() string { return fmt.Sprintf("body is longer than %d bytes", e.limit) }
+
+// ReadLimited reads a body to its end. The error is a *TooLongError if it is longer
+// than limit bytes.
+func ReadLimited(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, &TooLongError{limit: limit}
+	}
+	return data, nil
+}
+
 // ReadUpTo reads up to limit bytes of a body. If the body ends within the limit, it
 // returns the data and a nil remainder. Otherwise the data is nil and the remainder is
 // a stream of the whole body from its beginning.
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -32,6 +32,32 @@
 	return nil
 }
 
+// Guards against a body that is cut at the limit and taken for a whole one.
+func TestReadLimited(t *testing.T) {
+	broken := errors.New("broken")
+	tests := []struct {
+		name, text string
+		err        error
+		want       string
+		tooLong    bool
+	}{
+		{"shorter", "abc", nil, "abc", false},
+		{"at the limit", "abcd", nil, "abcd", false},
+		{"longer", "abcde", nil, "", true},
+		{"broken", "abc", broken, "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := holder.ReadLimited(&fakeBody{Reader: strings.NewReader(test.text), err: test.err}, 4)
+			var tooLong *holder.TooLongError
+			c.Assert(errors.As(err, &tooLong), qt.Equals, test.tooLong)
+			c.Assert(errors.Is(err, broken), qt.Equals, test.err != nil)
+			c.Assert(string(data), qt.Equals, test.want)
+		})
+	}
+}
+
 func TestReadUpToLimit(t *testing.T) {
 	broken := errors.New("broken")
 	tests := []struct {
