Bound the responses of relays

An instance decoded the response of a relay as it came, without a limit. Bytes without end filled its memory until the timeout of 2 s: more than a gigabyte in the test, where a process is killed at a few hundred megabytes. A whole message followed by bytes without end was taken for a whole answer.

A response is now read to its end, up to 16 MiB, before it is decoded; beyond that the relay counts as failed, and the next one or the store is read.

--- a/relayer/source.go
+++ b/relayer/source.go
@@ -8,14 +8,19 @@
 	"strconv"
 	"time"
 
+	"burdocklane/holder"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
 )
 
-// responseTimeout is how long a relay may take to respond beyond the time that it
-// holds the request.
-const responseTimeout = 500 * time.Millisecond
+const (
+	// responseTimeout is how long a relay may take to respond beyond the time that it
+	// holds the request.
+	responseTimeout = 500 * time.Millisecond
+	// maxResponseBytes bounds a message with all keys.
+	maxResponseBytes = 16 << 20
+)
 
 // source reads the keys from a relay.
 type source struct {
@@ -80,7 +85,11 @@
 	if response.StatusCode != http.StatusOK {
 		return storer.NewStatusError("relay", response.StatusCode, "")
 	}
-	if err := json.NewDecoder(response.Body).Decode(message); err != nil {
+	data, err := holder.ReadLimited(response.Body, maxResponseBytes)
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	if err := json.Unmarshal(data, message); err != nil {
 		return errors.Wrap(err, "relay")
 	}
 	return nil
