Report a list of the platform that is too long

The lister cut a response at 8 MiB without a word. What was reported was a syntax error, and a list followed by spaces without end was taken for a whole one. The lister and Fetch now fail with a *holder.TooLongError, and the last list stays.

Before: TestListWithoutEnd/spaces_after_a_whole_list: "value is not true, comment: <nil>"; entry: "decode the platform's list: unexpected end of JSON input".

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -12,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/holder"
 	"burdocklane/registrar"
 	"burdocklane/sleeper"
 
@@ -118,7 +118,7 @@
 	default:
 		return &StatusError{status: response.StatusCode}
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	data, err := holder.ReadLimited(response.Body, maxListBytes)
 	if err != nil {
 		return errors.Wrap(err, "platform's list")
 	}
@@ -156,7 +156,7 @@
 	if response.StatusCode != http.StatusOK {
 		return registrar.List{}, &StatusError{status: response.StatusCode}
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	data, err := holder.ReadLimited(response.Body, maxListBytes)
 	if err != nil {
 		return registrar.List{}, errors.Wrap(err, "platform's list")
 	}
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -1,13 +1,21 @@
 package lister_test
 
 import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"burdocklane/holder"
 	"burdocklane/lister"
 	"burdocklane/registrar"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 )
 
 func TestEncodedListDecodes(t *testing.T) {
@@ -50,6 +58,39 @@
 	}
 }
 
+// Guards against a list without end that is cut without a word, or of which only the
+// beginning is used.
+func TestListWithoutEnd(t *testing.T) {
+	tests := []struct{ name, start, part string }{
+		{"entry", `{"version":3,"workers":[{"id":"`, "xxxx"},
+		{"spaces after a whole list", `{"version":3,"workers":[],"instances":[]}`, "    "},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, test.start)
+				for block := strings.Repeat(test.part, 8<<10); ; {
+					if _, err := io.WriteString(w, block); err != nil {
+						return
+					}
+				}
+			}))
+			defer server.Close()
+			_, err := lister.Fetch(context.Background(), server.URL)
+			var tooLong *holder.TooLongError
+			c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
+			lists := make(chan registrar.List, 1)
+			l := lister.New(server.URL, func(list registrar.List) { lists <- list }, zerolog.Nop())
+			for l.Polls() < 2 { // The first poll has failed by then.
+				time.Sleep(time.Millisecond)
+			}
+			l.Close()
+			c.Assert(lists, qt.HasLen, 0)
+		})
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"version": 1, "workers": [{"id": "w", "slots": -1}], "instances": [{}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
