Bound the messages of etcd's gateway and report those too long

A response was cut at 8 MiB without a word, and one followed by spaces without end was taken for a whole one. A message of a watch, which has no timeout, had no limit at all.

Both now fail with a *holder.TooLongError beyond 8 MiB. The limit of a watch holds for one message, so that a long watch goes on.

Before: TestGatewayResponsesWithoutEnd/spaces_after_a_whole_message: "value is not true, comment: <nil>"; value and a_field_that_is_not_known: "store: range: unexpected end of JSON input".

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -11,6 +11,9 @@
 // TooLongError reports a body that does not end within a limit.
 type TooLongError struct{ limit int64 }
 
+// NewTooLongError returns the error for a body that does not end within limit bytes.
+func NewTooLongError(limit int64) *TooLongError { return &TooLongError{limit: limit} }
+
 // Error implements error.
 func (e *TooLongError) Error() string { return fmt.Sprintf("body is longer than %d bytes", e.limit) }
 
@@ -22,7 +25,7 @@
 		return nil, err
 	}
 	if int64(len(data)) > limit {
-		return nil, &TooLongError{limit: limit}
+		return nil, NewTooLongError(limit)
 	}
 	return data, nil
 }
--- a/storer/gateway.go
+++ b/storer/gateway.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/holder"
+
 	"github.com/go-faster/errors"
 )
 
@@ -143,7 +145,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := holder.ReadLimited(response.Body, maxMessageBytes)
 	if err != nil {
 		return errors.Wrapf(err, "store: %s", operation)
 	}
@@ -189,9 +191,11 @@
 		return err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(&countingReader{from: response.Body, count: &g.bytes})
+	reader := &messageReader{from: response.Body, count: &g.bytes}
+	decoder := json.NewDecoder(reader)
 	for {
 		var message watchResponse
+		reader.left = maxMessageBytes
 		if err := decoder.Decode(&message); err != nil {
 			return errors.Wrap(err, "store: watch")
 		}
@@ -216,14 +220,21 @@
 	return batch
 }
 
-type countingReader struct {
+// messageReader counts the bytes that it reads and bounds those of a message.
+type messageReader struct {
 	from  io.Reader
 	count *atomic.Int64
+	left  int64 // How much more may be read until the message ends.
 }
 
-// Read implements io.Reader.
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.from.Read(p)
+// Read implements io.Reader. The error is a *holder.TooLongError if a message does not
+// end within its limit.
+func (r *messageReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, holder.NewTooLongError(maxMessageBytes)
+	}
+	n, err := r.from.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
 	r.count.Add(int64(n))
 	return n, err
 }
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"burdocklane/holder"
 	"burdocklane/storer"
 
 	qt "github.com/frankban/quicktest"
@@ -105,3 +110,55 @@
 	c.Assert(errors.As(err, &status), qt.IsTrue)
 	c.Assert(status.Status(), qt.Equals, 404)
 }
+
+// Guards against a response or a message of a watch without end that is cut without a
+// word, or read until the memory is full.
+func TestGatewayResponsesWithoutEnd(t *testing.T) {
+	tests := []struct{ name, start, part string }{
+		{"value", `{"header":{"revision":"8"},"kvs":[{"key":"YQ==","value":"`, "AAAA"},
+		{"spaces after a whole message", `{"header":{"revision":"8"}}`, "    "},
+		{"a field that is not known", `{"other":"`, "xxxx"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, test.start)
+				for block := strings.Repeat(test.part, 8<<10); ; {
+					if _, err := io.WriteString(w, block); err != nil {
+						return
+					}
+				}
+			}))
+			defer server.Close()
+			gateway := storer.NewGateway(server.URL)
+			defer gateway.Close()
+			var tooLong *holder.TooLongError
+			_, err := storer.Range(context.Background(), gateway, "/")
+			c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			err = storer.Watch(ctx, gateway, "/", storer.Revision{}, func(storer.Batch) { c.Error("a batch of a response without end") })
+			c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against a bound that ends a watch after a number of messages.
+func TestWatchOfManyLongMessages(t *testing.T) {
+	const messages = 12
+	c := qt.New(t)
+	value := strings.Repeat("AAAA", 1<<18)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for revision := 1; revision <= messages; revision++ {
+			fmt.Fprintf(w, `{"result":{"header":{"revision":"%d"},"events":[{"kv":{"key":"YQ==","value":"%s","mod_revision":"%d"}}]}}`, revision, value, revision)
+		}
+	}))
+	defer server.Close()
+	gateway := storer.NewGateway(server.URL)
+	defer gateway.Close()
+	received := 0
+	err := storer.Watch(context.Background(), gateway, "/", storer.Revision{}, func(storer.Batch) { received++ })
+	c.Assert(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(received, qt.Equals, messages)
+}
