Bound the responses of peers

twirp's client reads a response to its end, and the client that it got had no limit: a peer whose bytes do not end filled the memory until the exchange timed out. The transport now fails beyond 16 MiB.

--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -13,6 +13,9 @@
 const (
 	peerDialTimeout = time.Second
 	peerIdleTimeout = time.Minute
+	// maxMessageBytes bounds a message of a peer, which may hold the whole
+	// configuration.
+	maxMessageBytes = 16 << 20
 )
 
 // countedListener adds the bytes of its connections to a counter.
@@ -52,5 +55,19 @@
 	} else {
 		protocols.SetUnencryptedHTTP2(true)
 	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: boundedTransport{transport}}
+}
+
+// boundedTransport bounds the bodies of responses: twirp's client reads them to their
+// end. Reading more fails with an *http.MaxBytesError.
+type boundedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxMessageBytes)
+	return response, nil
 }
--- /dev/null
+++ b/exchanger/conn_test.go
@@ -0,0 +1,66 @@
+package exchanger_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdocklane/exchanger"
+	"burdocklane/messenger"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+)
+
+// Guards against a peer whose response does not end: it would be read until the memory
+// is full.
+func TestResponsesOfPeersWithoutEnd(t *testing.T) {
+	const allocatedLimit = 256 << 20 // Reading a body enlarges its buffer repeatedly.
+	tests := []struct {
+		name   string
+		status int
+	}{
+		{"reply", http.StatusOK},
+		{"error", http.StatusInternalServerError},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			protocols := &http.Protocols{}
+			protocols.SetUnencryptedHTTP2(true)
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/protobuf")
+				w.WriteHeader(test.status)
+				for block := make([]byte, 32<<10); ; {
+					if _, err := w.Write(block); err != nil {
+						return
+					}
+				}
+			}))
+			server.Config.Protocols = protocols
+			server.Start()
+			defer server.Close()
+			var traffic atomic.Int64
+			client := exchanger.NewClient(&exchanger.PeerTLS{}, &traffic)
+			defer client.CloseIdleConnections()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := messenger.NewPeersProtobufClient(server.URL, client).Exchange(ctx, &messenger.ExchangeRequest{})
+			runtime.ReadMemStats(&after)
+			c.Assert(err, qt.IsNotNil)
+			c.Assert(ctx.Err(), qt.IsNil)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			c.Assert(allocated < allocatedLimit, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+			if test.status == http.StatusOK {
+				var tooLong *http.MaxBytesError
+				c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
+			}
+		})
+	}
+}
