Bound the load reports that probes read

A probe decoded a report as it came and read bytes without end until its timeout of a second; header fields were bounded at 10 MiB for each of up to 64 probes. A report has at most 4 KiB now, and its header 16 KiB.

--- a/prober/prober.go
+++ b/prober/prober.go
@@ -14,6 +14,7 @@
 
 	"burdocklane/budgeter"
 	"burdocklane/counter"
+	"burdocklane/holder"
 	"burdocklane/limiter"
 	"burdocklane/tracker"
 
@@ -32,6 +33,8 @@
 	maxConcurrentProbes = 64
 	probeTimeout        = time.Second
 	maxIdlePerWorker    = 4
+	maxReportBytes      = 4 << 10
+	maxHeadBytes        = 16 << 10
 )
 
 var probesTotal = metrics.NewCounter("burdocklane_probes_total")
@@ -61,7 +64,8 @@
 	}
 	p := &Prober{pools: pools, budget: budget, semaphore: make(chan struct{}, maxConcurrentProbes), cancel: cancel}
 	p.client = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
-		MaxIdleConnsPerHost: maxIdlePerWorker,
+		MaxIdleConnsPerHost:    maxIdlePerWorker,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -127,7 +131,11 @@
 	}
 	defer response.Body.Close()
 	var r report
-	if err := json.NewDecoder(response.Body).Decode(&r); err != nil {
+	data, err := holder.ReadLimited(response.Body, maxReportBytes)
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	if err := json.Unmarshal(data, &r); err != nil {
 		return errors.Wrap(err, "probe")
 	}
 	worker.SetProbedInFlight(r.InFlight)
