Report a response of the admin port that is too long

Commands cut a response at 64 MiB without a word and printed it as a whole one. They now fail with a *holder.TooLongError.

Before: TestResponseWithoutEnd: "value is not true, comment: <nil>".

--- a/inspector/client.go
+++ b/inspector/client.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"burdocklane/descriptor"
+	"burdocklane/holder"
 
 	"github.com/go-faster/errors"
 )
@@ -48,7 +48,7 @@
 		return nil, errors.Wrap(err, "admin port")
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := holder.ReadLimited(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "admin port")
 	}
