Send each call of the load generator once

net/http sends a GET or HEAD without a body again by itself when a reused connection ends without a response. A call that a worker had run then ran again, and "not run" of the last sending stood against several runs in TestGuaranteesHoldOnFaultyLinksToWorkers and TestPlannedStopAbortsNoCalls. GetBody was nil, but http.NewRequest replaces an empty body by http.NoBody, which counts as one that can be read again.

The body of a GET or HEAD is now always one that net/http cannot read again, also if it is empty. Nothing is sent for an empty one, as before.

Before: TestCallsAreSentOnce/GET: "values are not equal, comment: load-1-3, got: int(2) want: int(1)"; HEAD alike.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -123,11 +123,11 @@
 func send(ctx context.Context, client *http.Client, target string, callType CallType, id string, o *Outcome) (Kind, error) {
 	body := bytes.Repeat([]byte{'x'}, callType.requestBytes)
 	url := "http://" + target + callType.path + "?bytes=" + strconv.Itoa(callType.responseBytes)
-	request, err := http.NewRequestWithContext(ctx, callType.method, url, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, callType.method, url, http.NoBody)
 	if err != nil {
 		return Failed, errors.Wrap(err, "load")
 	}
-	request.GetBody = nil
+	setBody(request, body)
 	request.Header.Set("X-Request-Id", id)
 	response, err := client.Do(request)
 	if err != nil {
@@ -142,6 +142,18 @@
 	return classify(response, callType, id, body, received), nil
 }
 
+// setBody sets a body such that net/http does not send the request again by itself
+// when its connection ends without a response. It does so with an idempotent request
+// whose body is http.NoBody or can be read again. An empty body of any other type is
+// not sent for these methods; for the others it would be sent in chunks.
+func setBody(request *http.Request, body []byte) {
+	idempotent := request.Method == http.MethodGet || request.Method == http.MethodHead
+	if len(body) == 0 && !idempotent {
+		return
+	}
+	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+}
+
 // classify compares a response with the one that the worker emulator sends for
 // the request ID and body.
 func classify(response *http.Response, callType CallType, id string, body, received []byte) Kind {
