End a transfer whose worker stands still for the body timeout

The body timeout is how long a transfer may make no progress. It bounded the caller's side only: a worker that stopped in the middle of a body kept its slot and the caller's connection until the caller went away.

Each read of the body now has that time, after which the attempt is cancelled: its connection is closed, and the caller's transfer is aborted. A slow transfer that goes on passes, however long it takes.

Before: TestStalledUpstreamBodyAbortsCallerTransfer/stalled: "value is not true, comment: 10.003873905s", when the caller of the test gave up.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -224,7 +224,7 @@
 	case retrier.Forwarded:
 		c.recordDecision("pass", retrier.ResultText(a.result), a, 0, took, a.granted.CandidateSummary())
 		_, declined := a.result.(retrier.Declined)
-		return Answered{attempt: a.number, declined: declined, finish: c.finishFunc(a)}
+		return Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
 	case retrier.NotRun:
 		c.discard(a)
 		c.recordDecision("refuse", o.Reason(), a, 0, took, a.granted.CandidateSummary())
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -24,6 +24,7 @@
 type Answered struct {
 	attempt  int
 	declined bool
+	cancel   func()
 	finish   func(complete bool)
 }
 
@@ -52,6 +53,10 @@
 // run.
 func (a Answered) Declined() bool { return a.declined }
 
+// Cancel ends the transfer of the response, whose body then cannot be read further.
+// Finish must still be called.
+func (a Answered) Cancel() { a.cancel() }
+
 // Finish ends the call and releases its slot. It must be called exactly once, after
 // the response has been forwarded; complete is false if the transfer failed before
 // the end.
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -149,7 +149,7 @@
 	})
 	h.markDeclined(done, response)
 	writeHeader(w, id, response)
-	if err := h.copyBody(w, response); err != nil {
+	if err := h.copyBody(w, done, response); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range response.Trailer {
@@ -187,16 +187,21 @@
 }
 
 // copyBody copies the response body to the caller. It flushes after each read
-// if the length is unknown, since the worker may then be streaming.
-func (h *Handler) copyBody(w http.ResponseWriter, response *http.Response) error {
+// if the length is unknown, since the worker may then be streaming. A transfer that
+// makes no progress for the body timeout is ended.
+func (h *Handler) copyBody(w http.ResponseWriter, done dispatcher.Answered, response *http.Response) error {
 	if response.ContentLength == 0 {
 		return nil
 	}
 	buffer, _ := h.buffers.Get().(*[copyBufferBytes]byte)
 	defer h.buffers.Put(buffer)
 	control := http.NewResponseController(w)
+	stalled := time.AfterFunc(h.limits.BodyTimeout(), done.Cancel)
+	defer stalled.Stop()
 	for {
+		stalled.Reset(h.limits.BodyTimeout())
 		n, readErr := response.Body.Read(buffer[:])
+		stalled.Stop()
 		if n > 0 {
 			if err := h.writePart(w, control, buffer[:n], response.ContentLength < 0); err != nil {
 				return err
--- a/listener/listener_test.go
+++ b/listener/listener_test.go
@@ -41,6 +41,11 @@
 // startListenerFor starts a listener whose only worker is at the upstream
 // address.
 func startListenerFor(c testing.TB, upstream string, repeat descriptor.CallSemantics) (string, func() int64) {
+	return startListenerWith(c, settings, upstream, repeat)
+}
+
+// startListenerWith is startListenerFor with other settings.
+func startListenerWith(c testing.TB, settings, upstream string, repeat descriptor.CallSemantics) (string, func() int64) {
 	s, err := parser.ParseSettings("test", []byte(settings))
 	qt.Assert(c, err, qt.IsNil)
 	self := registrar.NewInstance("i", "", "", s.Locality(), false)
@@ -109,6 +114,46 @@
 	}
 }
 
+// Guards against a worker that stops in the middle of a body and so keeps a slot and
+// the caller's connection for as long as the caller waits.
+func TestStalledUpstreamBodyAbortsCallerTransfer(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration // Between the parts of the body.
+		whole bool
+	}{
+		{"slow but steady, and longer than the body timeout in all", 300 * time.Millisecond, true},
+		{"stalled", 20 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const parts = 10
+			c := qt.New(t)
+			upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				for range parts {
+					io.WriteString(w, "part ")
+					http.NewResponseController(w).Flush()
+					select {
+					case <-time.After(test.pause):
+					case <-r.Context().Done():
+						return
+					}
+				}
+			}))
+			c.Cleanup(upstream.Close)
+			shortTimeout := strings.Replace(settings, `"limits": {`, `"limits": {"body-timeout": "2s", `, 1)
+			address, _ := startListenerWith(c, shortTimeout, strings.TrimPrefix(upstream.URL, "http://"), descriptor.AtMostOnce{})
+			started := time.Now()
+			response := sendRaw(c, address, "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+			c.Assert(time.Since(started) < 8*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(started)))
+			c.Assert(strings.HasSuffix(response, "\r\n0\r\n\r\n"), qt.Equals, test.whole, qt.Commentf("%s", response))
+			if test.whole {
+				c.Assert(strings.Count(response, "part "), qt.Equals, parts)
+			}
+		})
+	}
+}
+
 func TestTruncatedUpstreamBodyAbortsCallerTransfer(t *testing.T) {
 	tests := []struct{ name, head, part string }{
 		{"shorter than Content-Length", "Content-Length: 10\r\n", "12345"},
