Do not retain missing keys for longer when outages follow each other

What callers could see: calls to a worker that has left, for as long as outages of the store came less than two seconds apart. Each of them restarted the grace period of all missing keys; failed probes make short outages more frequent. A key now has the deadline of the outage in which it disappeared. The new row of TestReplica failed before: 'a' was still there.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -256,6 +256,7 @@
 	f.source.Store(storer.Name(store))
 	f.knownRevision.Advance(result.Revision())
 	f.replica.Replace(result.Pairs())
+	f.replica.Expire(time.Now())
 	f.publish()
 	if !relayed && f.waitForRelay(ctx) {
 		return nil
--- a/follower/replica.go
+++ b/follower/replica.go
@@ -12,17 +12,18 @@
 // caller sets a time until which keys that disappear are retained as missing.
 type Replica struct {
 	pairs       map[string]storer.Pair
-	missing     map[string]struct{}
+	missing     map[string]time.Time // The keys that are retained, with the time at which each is dropped.
 	retainUntil time.Time
 }
 
 // NewReplica returns a replica without keys.
 func NewReplica() *Replica {
-	return &Replica{pairs: map[string]storer.Pair{}, missing: map[string]struct{}{}}
+	return &Replica{pairs: map[string]storer.Pair{}, missing: map[string]time.Time{}}
 }
 
 // RetainUntil makes the replica retain keys that disappear before retainUntil
-// until then: their writers may put them again.
+// until then: their writers may put them again. Keys that are missing already are
+// retained no longer than before.
 func (r *Replica) RetainUntil(retainUntil time.Time) { r.retainUntil = retainUntil }
 
 // Replace replaces the keys by those of a full read. Keys that the read lacks are
@@ -66,30 +67,41 @@
 	if _, ok := r.pairs[key]; !ok {
 		return
 	}
+	if _, ok := r.missing[key]; ok {
+		return
+	}
 	if !r.retainUntil.IsZero() {
-		r.missing[key] = struct{}{}
+		r.missing[key] = r.retainUntil
 		return
 	}
 	delete(r.pairs, key)
 }
 
-// RetentionDeadline returns the time at which missing keys are dropped, and false
-// if none are retained.
+// RetentionDeadline returns the time at which the next missing keys are dropped, and
+// false if none are retained.
 func (r *Replica) RetentionDeadline() (time.Time, bool) {
-	return r.retainUntil, !r.retainUntil.IsZero()
+	deadline := r.retainUntil
+	for _, d := range r.missing {
+		if d.Before(deadline) {
+			deadline = d
+		}
+	}
+	return deadline, !r.retainUntil.IsZero()
 }
 
-// Expire drops the missing keys if the retention deadline has passed, and reports
-// whether it has.
+// Expire drops the missing keys that have been retained for long enough, and reports
+// whether the retention deadline has passed.
 func (r *Replica) Expire(now time.Time) bool {
+	for key, deadline := range r.missing {
+		if !now.Before(deadline) {
+			delete(r.missing, key)
+			delete(r.pairs, key)
+		}
+	}
 	if r.retainUntil.IsZero() || now.Before(r.retainUntil) {
 		return false
 	}
 	r.retainUntil = time.Time{}
-	for key := range r.missing {
-		delete(r.pairs, key)
-	}
-	clear(r.missing)
 	return true
 }
 
--- a/follower/replica_test.go
+++ b/follower/replica_test.go
@@ -111,6 +111,13 @@
 			r.Apply([]storer.Event{storer.NewDeletion("a", revision(11)), storer.NewEvent(pair("a", "3", 12))})
 			r.Expire(graceEnd)
 		}, []string{"a=3", "b=1"}},
+		{"missing after two outages in a row, grace period of the first over", func(r *follower.Replica) {
+			r.RetainUntil(graceEnd)
+			r.Replace([]storer.Pair{pair("b", "1", 10)})
+			r.RetainUntil(graceEnd.Add(time.Second))
+			r.Replace([]storer.Pair{pair("b", "1", 10)})
+			r.Expire(graceEnd)
+		}, []string{"b=1"}},
 		{"removed after the grace period", func(r *follower.Replica) {
 			r.RetainUntil(graceEnd)
 			r.Expire(graceEnd)
