Let probes of a slow store wait longer

A store that answers after 0.4 s or more failed each probe: the watch was ended and the keys were read again, about once a second on every relay, and the relays stopped serving meanwhile. The timeout of a probe is now at least twice the time of the last read. TestProbesOfASlowStoreWaitLonger fails without it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -68,7 +68,8 @@
 	// Used only by the run goroutine.
 	replica     *Replica
 	wokenAt     time.Time
-	lastFailure string // The reason of the last failure that was logged.
+	readTime    time.Duration // How long the last read of the keys took.
+	lastFailure string        // The reason of the last failure that was logged.
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -240,10 +241,12 @@
 // when the keys are to be read again: the retention of missing keys or the maximum
 // watch duration is over, or a relay is available to read from.
 func (f *Follower) follow(ctx context.Context, store storer.Store, relayed bool) error {
+	started := time.Now()
 	result, err := storer.Range(ctx, store, f.prefix)
 	if err != nil {
 		return err
 	}
+	f.readTime = time.Since(started)
 	if have := f.knownRevision.Load(); result.Revision().Before(have) {
 		return &StaleReadError{have: have, read: result.Revision()}
 	}
@@ -276,7 +279,8 @@
 	defer end(nil)
 	if !relayed {
 		f.done.Go(func() { f.endWhenRelayAvailable(watchCtx, end) })
-		f.done.Go(func() { f.endWhenProbeFails(watchCtx, end) })
+		readTime := f.readTime
+		f.done.Go(func() { f.endWhenProbeFails(watchCtx, end, readTime) })
 	}
 	f.activeWatch.Store(f.newActiveWatch(relayed, end))
 	err := storer.Watch(watchCtx, store, f.prefix, revision, f.applyBatch)
--- a/follower/probe.go
+++ b/follower/probe.go
@@ -13,8 +13,11 @@
 
 const (
 	// probeInterval is how often an instance that watches the store itself probes it.
-	probeInterval = 400 * time.Millisecond
-	probeTimeout  = 400 * time.Millisecond
+	probeInterval   = 400 * time.Millisecond
+	minProbeTimeout = 400 * time.Millisecond
+	// probeTimeoutRatio is the timeout of a probe as a multiple of the time that the
+	// last read of the keys took: a slow store is not a silent one.
+	probeTimeoutRatio = 2
 )
 
 // ProbeError reports that the store did not answer a probe, so that the watch in
@@ -30,12 +33,14 @@
 // endWhenProbeFails probes the store during a watch. A store that stays silent looks
 // the same to a watch as one without changes: a failed probe ends the watch, and a
 // probe that returns a later revision than the watch reveals that it has stalled.
-func (f *Follower) endWhenProbeFails(ctx context.Context, end context.CancelCauseFunc) {
+// readTime is how long the store took for the read before the watch.
+func (f *Follower) endWhenProbeFails(ctx context.Context, end context.CancelCauseFunc, readTime time.Duration) {
 	if !storer.CanProbe(f.store) {
 		return
 	}
+	timeout := max(minProbeTimeout, probeTimeoutRatio*readTime)
 	for sleeper.Sleep(ctx, probeInterval) {
-		revision, err := f.probe(ctx)
+		revision, err := f.probe(ctx, timeout)
 		if ctx.Err() != nil {
 			return
 		}
@@ -48,8 +53,8 @@
 	}
 }
 
-func (f *Follower) probe(ctx context.Context) (storer.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (f *Follower) probe(ctx context.Context, timeout time.Duration) (storer.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return storer.Probe(ctx, f.store)
 }
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdocklane/follower"
+	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	qt "github.com/frankban/quicktest"
@@ -70,3 +71,35 @@
 		})
 	}
 }
+
+// Guards against a watch of a slow store that is ended again and again: the store
+// answers, only later than a probe usually waits.
+func TestProbesOfASlowStoreWaitLonger(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	const answerTime = 600 * time.Millisecond // Longer than the least timeout of a probe.
+	c := qt.New(t)
+	var reads, probes atomic.Int64
+	slow := storer.NewRemote(
+		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+			reads.Add(1)
+			time.Sleep(answerTime)
+			return storer.NewRangeResult(nil, revision(100)), nil
+		}),
+		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+			return storer.Batch{}, blockUntilDone(ctx)
+		}, 0),
+		storer.WithProbe(func(ctx context.Context) (storer.Revision, error) {
+			probes.Add(1)
+			if !sleeper.Sleep(ctx, answerTime) {
+				return storer.Revision{}, ctx.Err()
+			}
+			return revision(100), nil
+		}))
+	f := follower.New(slow, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop())
+	f.Start()
+	defer f.Close()
+	for probes.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(reads.Load(), qt.Equals, int64(1))
+}
