Judge an aborted call in the soak by the process that served it

Cause: a caller noted the process that it had chosen for up to 25 calls. When that process stops in between, a later call of the series reaches the next process of the same instance, on the same address. If that one is killed, the aborted call was held against the process before it, which nothing had killed. This is read from the code.

Change: each call notes the latest process of its instance. An abort by a process that was neither killed nor suspended fails the run as before.

--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -66,11 +66,11 @@
 }
 
 // sendCalls sends calls until the context ends. It makes several calls on each
-// connection, even while the instance prepares to stop.
+// connection, even while the instance prepares to stop. A later connection may reach
+// the next process of the same instance.
 func (cs *callers) sendCalls(ctx context.Context, name string, rng *rand.Rand) {
 	for n := 0; ctx.Err() == nil; {
-		incarnations := cs.fleet.currentIncarnations()
-		target := incarnations[rng.IntN(len(incarnations))]
+		target := cs.fleet.instances[rng.IntN(len(cs.fleet.instances))]
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
 		for range callsPerConnection {
 			n++
@@ -87,8 +87,8 @@
 	}
 }
 
-func (cs *callers) sendCall(client *http.Client, target *incarnation, id string, rng *rand.Rand) outcome {
-	o := outcome{id: id, atMostOnce: rng.IntN(2) == 0, incarnation: target, start: time.Now(), route: 1 + rng.IntN(max(cs.fleet.latestVersion()-1, 1))}
+func (cs *callers) sendCall(client *http.Client, target *instance, id string, rng *rand.Rand) outcome {
+	o := outcome{id: id, atMostOnce: rng.IntN(2) == 0, incarnation: cs.fleet.currentIncarnation(target), start: time.Now(), route: 1 + rng.IntN(max(cs.fleet.latestVersion()-1, 1))}
 	method, path := http.MethodGet, fmt.Sprintf("/safe/%d/%s", o.route, id)
 	var body io.Reader = http.NoBody
 	if o.atMostOnce {
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -249,6 +249,13 @@
 	f.incarnations = append(f.incarnations, i.incarnation)
 }
 
+// currentIncarnation returns the latest process of the instance.
+func (f *fleet) currentIncarnation(i *instance) *incarnation {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return i.incarnation
+}
+
 // currentIncarnations returns the latest process of each instance.
 func (f *fleet) currentIncarnations() []*incarnation {
 	f.mutex.Lock()
