Take a failed probe for an outage only if a read fails too

Cause: a single probe without an answer counted as an outage since the last contact.

Change: the keys are read again at once; if that fails too, the store has been lost since the last contact, and the requests that wait at this relay are told, so that readers do not wait for the end of their poll. A store that refuses probes is reachable: three refusals in a row end the watch.

TestReadAfterAFailedProbeTells, TestRefusedProbesEndAWatchLate and TestReadersLeaveARelayThatLostTheStore guard it; the first fails if the outage does not count from the last contact.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -165,7 +165,7 @@
 	catchUpTimeout := time.Duration(relayTimeoutRatio * float64(p.settings.MaxChangeDelay()))
 	relays := follower.NewRelays(p.selector.UsesRelays, p.selector.Next, p.selector.ReportFailure, catchUpTimeout).
 		WithFallback(p.selector.NextFallback)
-	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays))
+	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck))
 	p.gossiper, err = gossiper.New(p.self(), p.publisher,
 		healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad),
 		gossiper.NewRevisionHooks(p.follower.Revision, p.follower.NotifyRevision), p.log)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -55,6 +55,7 @@
 	prefix        string
 	onChange      func(usable []storer.Pair, stored storer.RangeResult)
 	relays        Relays
+	onLost        func()
 	log           zerolog.Logger
 	lastContact   atomic.Int64
 	knownRevision storer.RevisionMark // The store's revision that the replica has reached.
@@ -69,6 +70,7 @@
 	replica     *Replica
 	wokenAt     time.Time
 	readTime    time.Duration // How long the last read of the keys took.
+	probeFailed bool          // A probe has failed since the last read.
 	lastFailure string        // The reason of the last failure that was logged.
 
 	ctx    context.Context
@@ -83,13 +85,17 @@
 // store only.
 func WithRelays(r Relays) Option { return func(f *Follower) { f.relays = r } }
 
+// WithOnLost sets a function that is called when the store becomes unreachable for
+// this instance. It must not call any method of the Follower except FollowsStore.
+func WithOnLost(onLost func()) Option { return func(f *Follower) { f.onLost = onLost } }
+
 // New returns a Follower that calls onChange with all keys whenever any has
 // changed: usable are the keys to use, including those retained after an outage,
 // and stored are those that the store holds.
 func New(store storer.Store, prefix string, onChange func(usable []storer.Pair, stored storer.RangeResult), log zerolog.Logger, opts ...Option) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
-		started: time.Now(), ctx: ctx, store: store, prefix: prefix, onChange: onChange, relays: NoRelays(), log: log,
+		started: time.Now(), ctx: ctx, store: store, prefix: prefix, onChange: onChange, relays: NoRelays(), onLost: func() {}, log: log,
 		replica: NewReplica(), wake: make(chan struct{}, 1), cancel: cancel,
 	}
 	for _, opt := range opts {
@@ -214,20 +220,27 @@
 
 // shouldRetryNow logs why a read or watch failed, and reports whether to read
 // again without a backoff: neither a compacted history nor a stalled watch is an
-// outage. For all other errors it records the start of the outage.
+// outage, and after a failed probe the next read tells. For all other errors it
+// records the start of the outage.
 func (f *Follower) shouldRetryNow(err error) bool {
 	var compacted *storer.CompactedError
 	var stalled *StalledWatchError
+	var probe *ProbeError
 	reason := failureReason(err)
 	countFailure(reason)
 	switch {
+	case errors.As(err, &probe):
+		f.log.Info().Err(err).Msg("store did not answer a probe; reading the keys again")
+		f.probeFailed = true
+		return true
 	case errors.As(err, &stalled):
 		return true
 	case errors.As(err, &compacted):
 		f.log.Info().Err(err).Msg("store has compacted its history; reading the keys again")
 		return true
-	case f.lostAt.CompareAndSwap(0, int64(f.lossTime(err))):
+	case f.lostAt.CompareAndSwap(0, int64(f.lossTime())):
 		f.log.Warn().Err(err).Str("reason", reason).Msg("lost the store")
+		f.onLost()
 	case reason != f.lastFailure:
 		f.log.Warn().Err(err).Str("reason", reason).Msg("the store is still lost, for another reason")
 	default:
@@ -301,6 +314,7 @@
 // missing keys are retained for a grace period.
 func (f *Follower) recordRead(source string) {
 	f.lastContact.Store(int64(f.now()))
+	f.probeFailed = false
 	lostAt := f.lostAt.Swap(0)
 	if lostAt == 0 {
 		return
--- a/follower/probe.go
+++ b/follower/probe.go
@@ -18,6 +18,9 @@
 	// probeTimeoutRatio is the timeout of a probe as a multiple of the time that the
 	// last read of the keys took: a slow store is not a silent one.
 	probeTimeoutRatio = 2
+	// maxRefusedProbes is how many probes in a row the store may refuse before the
+	// watch is ended. A refusal shows that the store is reachable.
+	maxRefusedProbes = 3
 )
 
 // ProbeError reports that the store did not answer a probe, so that the watch in
@@ -31,25 +34,31 @@
 func (e *ProbeError) Unwrap() error { return e.cause }
 
 // endWhenProbeFails probes the store during a watch. A store that stays silent looks
-// the same to a watch as one without changes: a failed probe ends the watch, and a
-// probe that returns a later revision than the watch reveals that it has stalled.
-// readTime is how long the store took for the read before the watch.
+// the same to a watch as one without changes: a probe without an answer ends the
+// watch, and one that returns a later revision than the watch reveals that it has
+// stalled. readTime is how long the store took for the read before the watch.
 func (f *Follower) endWhenProbeFails(ctx context.Context, end context.CancelCauseFunc, readTime time.Duration) {
 	if !storer.CanProbe(f.store) {
 		return
 	}
 	timeout := max(minProbeTimeout, probeTimeoutRatio*readTime)
+	refused := 0
 	for sleeper.Sleep(ctx, probeInterval) {
 		revision, err := f.probe(ctx, timeout)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
+		if err == nil {
+			refused = 0
+			f.lastContact.Store(int64(f.now()))
+			f.NotifyRevision(revision)
+			continue
+		}
+		var status *storer.StatusError
+		if refused++; !errors.As(err, &status) || refused >= maxRefusedProbes {
 			end(&ProbeError{cause: err})
 			return
 		}
-		f.lastContact.Store(int64(f.now()))
-		f.NotifyRevision(revision)
 	}
 }
 
@@ -59,11 +68,10 @@
 	return storer.Probe(ctx, f.store)
 }
 
-// lossTime returns when the store became unreachable. A failed probe shows that it
-// has been so for some time, possibly since the last contact.
-func (f *Follower) lossTime(err error) time.Duration {
-	var probe *ProbeError
-	if errors.As(err, &probe) {
+// lossTime returns when the store became unreachable. A probe that failed before
+// shows that it has been so for some time, possibly since the last contact.
+func (f *Follower) lossTime() time.Duration {
+	if f.probeFailed {
 		return time.Duration(f.lastContact.Load())
 	}
 	return f.now()
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -103,3 +103,89 @@
 	}
 	c.Assert(reads.Load(), qt.Equals, int64(1))
 }
+
+// Guards against a relay that goes on serving while the store is silent, and against
+// an outage that is declared, with keys retained, since a single probe got lost.
+func TestReadAfterAFailedProbeTells(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	tests := []struct {
+		name    string
+		readErr error
+		lost    bool
+	}{
+		{"the store answers the read", nil, false},
+		{"the store does not answer the read either", errors.New("timeout"), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var reads, probes atomic.Int64
+			silent := storer.NewRemote(
+				storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+					switch reads.Add(1) {
+					case 1:
+						return storer.NewRangeResult([]storer.Pair{pair("a", "v", 1), pair("b", "v", 1)}, revision(100)), nil
+					case 2:
+						if test.readErr != nil {
+							return storer.RangeResult{}, test.readErr
+						}
+					}
+					return storer.NewRangeResult([]storer.Pair{pair("a", "v", 1)}, revision(200)), nil
+				}),
+				storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+					return storer.Batch{}, blockUntilDone(ctx)
+				}, 0),
+				storer.WithProbe(func(ctx context.Context) (storer.Revision, error) {
+					if probes.Add(1) == 1 {
+						return storer.Revision{}, blockUntilDone(ctx)
+					}
+					return revision(200), nil
+				}))
+			var f *follower.Follower
+			var serving []bool // Whether the instance could serve as a relay when it lost the store.
+			usable := make(chan int, 8)
+			f = follower.New(silent, "", func(pairs []storer.Pair, _ storer.RangeResult) { usable <- len(pairs) }, zerolog.Nop(),
+				follower.WithOnLost(func() { serving = append(serving, f.FollowsStore()) }))
+			f.Start()
+			c.Assert(<-usable, qt.Equals, 2)
+			got := <-usable // A missing key is retained after an outage only.
+			f.Close()
+			if test.lost {
+				c.Assert(got, qt.Equals, 2)
+				c.Assert(serving, qt.DeepEquals, []bool{false})
+				return
+			}
+			c.Assert(got, qt.Equals, 1)
+			c.Assert(serving, qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against a store that refuses probes, by a rate limit, and is read again and
+// again although its watch works.
+func TestRefusedProbesEndAWatchLate(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	var reads, probes atomic.Int64
+	limited := storer.NewRemote(
+		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+			reads.Add(1)
+			return storer.NewRangeResult(nil, revision(100)), nil
+		}),
+		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+			return storer.Batch{}, blockUntilDone(ctx)
+		}, 0),
+		storer.WithProbe(func(context.Context) (storer.Revision, error) {
+			if probes.Add(1)%3 == 0 {
+				return revision(100), nil
+			}
+			return storer.Revision{}, storer.NewStatusError("probe", 429, "")
+		}))
+	f := follower.New(limited, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop())
+	f.Start()
+	defer f.Close()
+	for probes.Load() < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(reads.Load(), qt.Equals, int64(1))
+}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -106,6 +106,16 @@
 	close(old.replaced)
 }
 
+// Recheck makes the requests that wait check again whether this instance serves. It
+// must not be called concurrently with Publish.
+func (r *Relay) Recheck() {
+	old := r.keys.Load()
+	same := *old
+	same.replaced = make(chan struct{})
+	r.keys.Store(&same)
+	close(old.replaced)
+}
+
 // Suspend makes the relay reject requests until keys are published again: other
 // instances are the relays now.
 func (r *Relay) Suspend() { r.serving.Store(false) }
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -401,3 +401,26 @@
 		})
 	}
 }
+
+// Guards against readers that wait at a relay which has lost the store, until their
+// poll times out.
+func TestReadersLeaveARelayThatLostTheStore(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	var followsStore atomic.Bool
+	followsStore.Store(true)
+	r, err := New(anyAddress, followsStore.Load, zerolog.Nop())
+	c.Assert(err, qt.IsNil)
+	defer r.Close()
+	r.Publish(storer.NewRangeResult(pairs(1), revision(1)))
+	waiting := r.keys.Load()
+	served := make(chan bool, 1)
+	go func() {
+		r.waitFor(context.Background(), time.Minute, func(*snapshot) bool { return !r.serves() })
+		served <- r.serves()
+	}()
+	followsStore.Store(false)
+	r.Recheck()
+	c.Assert(<-served, qt.IsFalse)
+	c.Assert(r.keys.Load().cursor, qt.Equals, waiting.cursor)
+}
