Ask the coordinators that usually serve first, and none twice in 10 s

The tries of two silent peers took longer than the 2 s for which one is passed over.

Change: 10 s for fallbacks, and the first coordinators of the zones, which usually follow the store, before the second ones, which usually do not. The row 'the first ones of their zones first' of TestFallbackSelection failed before.

--- a/registrar/coordinators.go
+++ b/registrar/coordinators.go
@@ -29,10 +29,11 @@
 	return coordinators
 }
 
-// CoordinatorsByDistance returns the coordinators of all availability zones but self,
-// the nearest ones first. Instances at the same locality get different orders among
-// equally distant ones, so that they do not all turn to the same coordinator.
-func CoordinatorsByDistance(instances []Instance, self Instance) []Instance {
+// CoordinatorsByRank returns the coordinators of all availability zones but self: the
+// first ones of their zones before the second ones, and among equals the nearest
+// first. Instances at the same locality get different orders among equally distant
+// ones, so that they do not all turn to the same coordinator.
+func CoordinatorsByRank(instances []Instance, self Instance) []Instance {
 	zones := map[Locality][]Instance{}
 	for _, i := range instances {
 		if !i.Leaving() {
@@ -40,13 +41,18 @@
 		}
 	}
 	var coordinators []Instance
+	ranks := map[InstanceID]int{}
 	for _, members := range zones {
-		coordinators = append(coordinators, topRanked(members)...)
+		for rank, i := range topRanked(members) {
+			ranks[i.ID()] = rank
+			coordinators = append(coordinators, i)
+		}
 	}
 	coordinators = slices.DeleteFunc(coordinators, func(i Instance) bool { return i.ID() == self.ID() })
 	score := func(i Instance) uint32 { return Hash(string(self.ID()) + "/" + string(i.ID())) }
 	slices.SortFunc(coordinators, func(a, b Instance) int {
 		return cmp.Or(
+			cmp.Compare(ranks[a.ID()], ranks[b.ID()]),
 			cmp.Compare(self.Locality().Distance(a.Locality()), self.Locality().Distance(b.Locality())),
 			cmp.Compare(score(a), score(b)))
 	})
--- a/relayer/selector.go
+++ b/relayer/selector.go
@@ -14,6 +14,10 @@
 // failedRelayCooldown is how long a relay is not selected after it failed to serve.
 const failedRelayCooldown = 2 * time.Second
 
+// failedFallbackCooldown is how long a fallback is not selected after it failed to
+// serve. It is longer than the tries of several others that do not answer.
+const failedFallbackCooldown = 10 * time.Second
+
 // Selector selects the relay that this instance reads from. The relays of an
 // availability zone are the region's coordinators in it, and the first one serves
 // all other instances of the zone.
@@ -22,12 +26,18 @@
 	knownRevision func() storer.Revision
 	client        *http.Client
 	relays        atomic.Pointer[[]registrar.Instance] // Those that this instance may read from, in order of preference.
-	lastSelected  atomic.Value                         // The registrar.InstanceID of the relay that Next returned last.
+	lastSelected  atomic.Pointer[selection]            // The relay that was returned last.
 	cooldowns     sync.Map                             // From an instance's ID to the time until which it is not selected.
 	live          func() []registrar.Instance          // The live coordinators.
 	instances     atomic.Pointer[[]registrar.Instance] // All instances.
 }
 
+// selection is a relay that was returned, and how long it is not selected if it fails.
+type selection struct {
+	id       registrar.InstanceID
+	cooldown time.Duration
+}
+
 // NewSelector returns a selector for the instance self: knownRevision returns the
 // store's revision that its keys have reached, and live the coordinators that are
 // live.
@@ -64,33 +74,34 @@
 	for _, relay := range *s.relays.Load() {
 		isLive := slices.ContainsFunc(liveInstances, func(i registrar.Instance) bool { return i.ID() == relay.ID() })
 		if isLive && !s.isCoolingDown(relay.ID()) {
-			return s.selectRelay(relay), true
+			return s.selectRelay(relay, failedRelayCooldown), true
 		}
 	}
 	return nil, false
 }
 
-// NextFallback returns the nearest coordinator of any zone that is not cooling down
-// after a failure, for an instance that neither its relays nor the store serve.
+// NextFallback returns a coordinator of any zone that is not cooling down after a
+// failure, for an instance that neither its relays nor the store serve: the first ones
+// of the zones before the others, and the nearest ones before those.
 func (s *Selector) NextFallback() (storer.Store, bool) {
-	for _, relay := range registrar.CoordinatorsByDistance(*s.instances.Load(), s.self) {
+	for _, relay := range registrar.CoordinatorsByRank(*s.instances.Load(), s.self) {
 		if !s.isCoolingDown(relay.ID()) {
-			return s.selectRelay(relay), true
+			return s.selectRelay(relay, failedFallbackCooldown), true
 		}
 	}
 	return nil, false
 }
 
-func (s *Selector) selectRelay(relay registrar.Instance) storer.Store {
-	s.lastSelected.Store(relay.ID())
+func (s *Selector) selectRelay(relay registrar.Instance, cooldown time.Duration) storer.Store {
+	s.lastSelected.Store(&selection{id: relay.ID(), cooldown: cooldown})
 	return newSource(s.client, relay.PeerAddress(), s.knownRevision)
 }
 
-// ReportFailure records that the last relay did not serve: it is not selected for
-// failedRelayCooldown.
+// ReportFailure records that the relay or fallback which was returned last did not
+// serve: it is not selected for a while.
 func (s *Selector) ReportFailure() {
-	if id, ok := s.lastSelected.Load().(registrar.InstanceID); ok {
-		s.cooldowns.Store(id, time.Now().Add(failedRelayCooldown))
+	if last := s.lastSelected.Load(); last != nil {
+		s.cooldowns.Store(last.id, time.Now().Add(last.cooldown))
 	}
 }
 
