Write a lost entry of an instance again while peers still retain it

What callers could see: after the store had lost the entries of instances (an outage in which leases lapse, or an older copy), live instances were in nobody's list for 1 to 2 s: no coordinators, relays or schedulers. Cause: an instance looked for its own entry among the keys that are retained after an outage, for 2 s, and then waited up to 2 s more. It looks at what the store holds now, and waits up to 0.5 s. TestLostEntryIsWrittenAgainWhileItIsRetained failed before: 'the instance's entry is still missing'.

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -13,7 +13,7 @@
 // the store.
 func (p *Process) applyKeys(usable []storer.Pair, stored storer.RangeResult) {
 	list, changed := p.directory.Parse(usable, stored.Revision())
-	p.registration.Observe(usable)
+	p.registration.Observe(stored.Pairs())
 	p.updateRelay(list, stored)
 	if changed != nil {
 		p.applyConfiguration(*changed)
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -27,6 +27,8 @@
 	leaseTTL      = 10 * time.Minute
 	renewInterval = 3 * time.Minute
 	retryDelay    = 2 * time.Second
+	// maxRewriteDelay spreads the writes of instances whose entries are all missing.
+	maxRewriteDelay = 500 * time.Millisecond
 	// maxCPUs is more than a machine has. An entry beyond it would make its instance
 	// the first coordinator of its zone.
 	maxCPUs = 1 << 16
@@ -201,7 +203,7 @@
 		return false
 	case <-r.missing:
 		r.log.Warn().Msg("this instance's entry is missing from the store; writing it again")
-		sleeper.Sleep(ctx, rand.N(retryDelay))
+		sleeper.Sleep(ctx, rand.N(maxRewriteDelay))
 		return false
 	case <-timer.C:
 		return true
