--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -82,6 +82,7 @@
 	{31, "so did SIGTERM, and nothing was logged"},
 	{37, "same as 31"},
 	{40, "same as 31"},
+	{115, "the store went back to an older copy, whose revisions passed for old ones"},
 }
 
 const (
