Demand a second answer before an era that skips others is taken over

One wrong answer with status 200 and a far later era blocked an instance until it restarted: all further reads failed as stale and all writes were refused as superseded.

Cause: the mark was raised to whatever era an answer named. Now an answer of an era that skips others is discarded with *storer.UnconfirmedEraError.

--- a/storer/era_error.go
+++ b/storer/era_error.go
@@ -60,6 +60,26 @@
 	return fmt.Sprintf("store: %s: answer is of era %d; the latest is %d", e.operation, e.era, e.latest)
 }
 
+// UnconfirmedEraError reports the first answer of an era that is more than one after
+// the latest known one. The answer was discarded: the era is taken over once the
+// answer of another call confirms it.
+type UnconfirmedEraError struct {
+	operation string
+	era       int64
+	latest    int64
+}
+
+// NewUnconfirmedEraError returns the error for an answer of an era that skips others,
+// when the latest known one is given.
+func NewUnconfirmedEraError(operation string, era, latest int64) *UnconfirmedEraError {
+	return &UnconfirmedEraError{operation: operation, era: era, latest: latest}
+}
+
+// Error implements error.
+func (e *UnconfirmedEraError) Error() string {
+	return fmt.Sprintf("store: %s: answer is of era %d, which is not confirmed; the latest is %d", e.operation, e.era, e.latest)
+}
+
 // SupersededError reports a call with a revision or a lease of an older era than the
 // latest known one. The call was not made: nothing was done.
 type SupersededError struct {
