Name the reason when answers of the store are discarded for their era

The log and burdocklane_store_failures_total said "unreachable" of a store that answers, when its answers were discarded because of their era: operators would look at the network. Cause: failureReason did not know the era errors.

Failed before:

TestFailureReason/era-missing got: "unreachable" want: "era-missing"

--- a/follower/failure.go
+++ b/follower/failure.go
@@ -28,9 +28,37 @@
 	case errors.As(err, &status):
 		return "status-" + strconv.Itoa(status.Status())
 	}
+	if reason := eraReason(err); reason != "" {
+		return reason
+	}
 	return "unreachable"
 }
 
+// eraReason returns why an answer of the store was discarded because of its era, or "".
+func eraReason(err error) string {
+	var missing *storer.MissingEraError
+	var invalid *storer.InvalidEraError
+	var stale *storer.StaleEraError
+	var unconfirmed *storer.UnconfirmedEraError
+	var superseded *storer.SupersededError
+	var changed *storer.EraChangedError
+	switch {
+	case errors.As(err, &missing):
+		return "era-missing"
+	case errors.As(err, &invalid):
+		return "era-invalid"
+	case errors.As(err, &stale):
+		return "era-stale"
+	case errors.As(err, &unconfirmed):
+		return "era-unconfirmed"
+	case errors.As(err, &superseded):
+		return "era-superseded"
+	case errors.As(err, &changed):
+		return "era-changed"
+	}
+	return ""
+}
+
 func countFailure(reason string) {
 	metrics.GetOrCreateCounter(`burdocklane_store_failures_total{reason="` + reason + `"}`).Inc()
 }
