Make other content active at a revision that the store has lost

When the store went back to an older copy and the operator wrote other content at a version number that was lost with it, no instance ever served it: each took it for the active configuration, and logged nothing.

Cause: the publisher compared the numbers alone. A deployment now has an origin, the era of the store and a digest of its bytes. The same number with other bytes becomes active if it is of a later era than any in which the active one was read; in the same era, which the store's contract rules out, it is a *publisher.ContentError, logged as a warning. Deployments of stores without eras have no origin and compare as before.

Failed before:

TestRevisionOfALostConfigurationIsWrittenAgain store_faults_test.go:68: /c/1: status 404 after 3s TestRevisionThatIsGivenOutAgain/other_content_in_a_later_era got: "a" want: "b"

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -25,15 +25,20 @@
 }
 
 // applyConfiguration makes a configuration active unless it is older than the active
-// one, or the same: a store that has gone back to an older copy gives it out again.
+// one, or the same: a store that has gone back to an older copy gives it out again. The
+// same revision with other content is active if it was written since the store went
+// back.
 func (p *Process) applyConfiguration(d descriptor.Deployment) {
 	source := p.follower.Source()
 	err := p.publisher.PublishDeployment(d, source)
 	var notNewer *publisher.RevisionError
+	var otherContent *publisher.ContentError
 	switch {
 	case err == nil:
 		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Msg("configuration is in force")
 	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
+	case errors.As(err, &otherContent):
+		p.log.Warn().Err(err).Str("source", source).Msg("another configuration of the active revision was ignored")
 	default:
 		p.log.Warn().Err(err).Str("source", source).Msg("an older configuration was ignored")
 	}
--- a/bootstrapper/store_faults_test.go
+++ b/bootstrapper/store_faults_test.go
@@ -137,3 +137,21 @@
 		i.assertServed("/c/1", applyTime)
 	}
 }
+
+// Guards against a configuration that is never served since the store, gone back to an
+// older copy, got it at a revision that it had lost.
+func TestRevisionOfALostConfigurationIsWrittenAgain(t *testing.T) {
+	verifyNoLeaks(t)
+	c := qt.New(t)
+	store, instances, _ := startZones(c)
+	backup := store.Backup()
+	store.Put("op/config", configuration(2, "/b/"))
+	for _, i := range instances {
+		i.assertServed("/b/1", applyTime)
+	}
+	store.Restore(backup)
+	store.Put("op/config", configuration(2, "/c/"))
+	for _, i := range instances {
+		i.assertServed("/c/1", contactTime)
+	}
+}
--- a/descriptor/deployment.go
+++ b/descriptor/deployment.go
@@ -74,6 +74,7 @@
 	requestLimits     RequestLimits
 	revision          Revision
 	change            Change
+	origin            Origin
 }
 
 // NewDeployment returns a deployment that has no revision yet.
@@ -120,5 +121,14 @@
 // the store.
 func (d Deployment) Revision() Revision { return d.revision }
 
+// WithOrigin returns a copy of d with the write that it was read from.
+func (d Deployment) WithOrigin(o Origin) Deployment {
+	d.origin = o
+	return d
+}
+
+// Origin returns the write that the deployment was read from.
+func (d Deployment) Origin() Origin { return d.origin }
+
 // Change returns the change that wrote the revision.
 func (d Deployment) Change() Change { return d.change }
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -31,6 +31,18 @@
 	return fmt.Sprintf("revision %d is not newer than the active revision %d", e.got, e.have)
 }
 
+// ContentError reports a configuration that has the revision of the active one and
+// other content, although the store has not gone back to an older copy since.
+type ContentError struct {
+	revision descriptor.Revision
+	era      int64
+}
+
+// Error implements error.
+func (e *ContentError) Error() string {
+	return fmt.Sprintf("revision %d has other content than the active one, which was read in era %d of the store or a later one", e.revision, e.era)
+}
+
 // Publisher builds snapshots from configurations and lists, and makes them active.
 type Publisher struct {
 	current     atomic.Pointer[Snapshot]
@@ -39,8 +51,9 @@
 	retryBudget RetryBudget
 	observe     func(descriptor.Deployment)
 
-	mutex   sync.Mutex // Serializes writers. Readers use current.
-	changed chan struct{}
+	mutex     sync.Mutex // Serializes writers, and guards the fields below. Readers use current.
+	activeEra int64      // The latest era of the store in which the active configuration was read.
+	changed   chan struct{}
 }
 
 // RetryBudget is the fleet's budget of extra attempts for each service: a ratio of the
@@ -92,14 +105,20 @@
 }
 
 // PublishDeployment makes a configuration active. The error is a *RevisionError if
-// its revision is not larger than the active one.
+// its revision is smaller than the active one, or has the same content. With other
+// content, the same revision becomes active if it is of a later era of the store;
+// otherwise the error is a *ContentError.
 func (p *Publisher) PublishDeployment(d descriptor.Deployment, source string) error {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	old := p.current.Load()
-	if d.Revision() <= old.deployment.Revision() {
-		return &RevisionError{have: old.deployment.Revision(), got: d.Revision()}
+	if isSame(d, old.deployment) {
+		p.activeEra = max(p.activeEra, d.Origin().Era())
+	}
+	if err := p.checkIsNewer(d, old.deployment); err != nil {
+		return err
 	}
+	p.activeEra = d.Origin().Era()
 	next := *old
 	next.deployment = d
 	next.index = classifier.NewIndex(d)
@@ -111,6 +130,23 @@
 	return nil
 }
 
+// checkIsNewer returns an error unless a configuration replaces the active one. The
+// caller holds the mutex.
+func (p *Publisher) checkIsNewer(d, active descriptor.Deployment) error {
+	isOlder := d.Revision() < active.Revision() || d.Revision() == 0
+	switch {
+	case isOlder || isSame(d, active):
+		return &RevisionError{have: active.Revision(), got: d.Revision()}
+	case d.Revision() == active.Revision() && d.Origin().Era() <= p.activeEra:
+		return &ContentError{revision: d.Revision(), era: p.activeEra}
+	}
+	return nil
+}
+
+func isSame(a, b descriptor.Deployment) bool {
+	return a.Revision() == b.Revision() && a.Origin().SameContent(b.Origin())
+}
+
 // PublishList makes a list of the fleet active. An older list is ignored.
 func (p *Publisher) PublishList(list registrar.List) {
 	p.mutex.Lock()
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -34,6 +34,68 @@
 	})
 }
 
+// read is a configuration as it was read in an era of the store.
+type read struct {
+	era      int64
+	revision descriptor.Revision
+	content  string
+}
+
+func (r read) deployment() descriptor.Deployment {
+	d := descriptor.NewDeployment(r.content, descriptor.MeasurementBudget{}, nil)
+	return d.WithRevision(r.revision, descriptor.Change{}).WithOrigin(descriptor.NewOrigin(r.era, []byte(r.content)))
+}
+
+// Ignored as the active one, other content at a revision that the store lost when it
+// went back to a copy would never become active.
+func TestRevisionThatIsGivenOutAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		reads  []read
+		active string
+		err    string // Of the last one.
+	}{
+		{"other content in a later era", []read{{1, 8, "a"}, {2, 8, "b"}}, "b", ""},
+		{"other content after the copy's", []read{{1, 8, "a"}, {2, 7, "older"}, {2, 8, "b"}}, "b", ""},
+		{"other content in the same era", []read{{1, 8, "a"}, {1, 8, "b"}}, "a", "content"},
+		{"other content in an older era", []read{{2, 8, "a"}, {1, 8, "b"}}, "a", "content"},
+		{"the same content in the same era", []read{{1, 8, "a"}, {1, 8, "a"}}, "a", "revision"},
+		{"the same content in a later era", []read{{1, 8, "a"}, {2, 8, "a"}}, "a", "revision"},
+		{"other content in the era that confirmed the active one", []read{{1, 8, "a"}, {2, 8, "a"}, {2, 8, "b"}}, "a", "content"},
+		{"other content in each era", []read{{1, 8, "a"}, {2, 8, "b"}, {3, 8, "a"}}, "a", ""},
+		{"an older revision in a later era", []read{{1, 8, "a"}, {2, 7, "b"}}, "a", "revision"},
+		{"no revision", []read{{1, 0, "a"}}, "", "revision"},
+		{"a later revision in an older era", []read{{2, 8, "a"}, {1, 9, "b"}}, "b", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := publisher.New(registrar.NewInstance("a", "", "", registrar.Locality{}, false))
+			var err error
+			for _, r := range test.reads {
+				err = p.PublishDeployment(r.deployment(), "test")
+			}
+			c.Assert(p.Current().Deployment().Name(), qt.Equals, test.active)
+			c.Assert(errorType(err), qt.Equals, test.err, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// errorType returns which error of the publisher an error is, or "" for none.
+func errorType(err error) string {
+	var revision *publisher.RevisionError
+	var content *publisher.ContentError
+	switch {
+	case errors.As(err, &revision):
+		return "revision"
+	case errors.As(err, &content):
+		return "content"
+	case err != nil:
+		return "other"
+	}
+	return ""
+}
+
 func TestOlderListIsIgnored(t *testing.T) {
 	c := qt.New(t)
 	p := publisher.New(registrar.NewInstance("a", "", "", registrar.Locality{}, false))
