Do not pass heard revisions on between coordinators

One datagram with a revision that the store does not have went round among the coordinators for good, since each sent the highest revision that it had ever heard: all instances took their watches for stalled and read all keys again and again.

Coordinators now send each other, and to other regions, only the revision that they have read.

Two tests set and read the mark that is removed; they now use what is heard, with the same expectations.

Failed before (the revision that a coordinator was sent):

TestRevisionsThatArePassedOn/a_later_one got: "1:9" want: "1:7" TestRevisionsThatArePassedOn/a_far_later_one,_long_ago,_and_a_later_one got: "9:1" want: "1:7"

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -14,7 +14,8 @@
 // sendUpdates sends what this instance has observed since the last time to the
 // coordinators that need it. Once per heartbeatInterval, it sends a heartbeat to
 // every coordinator, without records if need be, and the liveness of the
-// coordinators to other instances.
+// coordinators to other instances. Coordinators get the revision that this instance
+// has read itself: one that is heard would go round among them for good.
 func (i *Gossiper) sendUpdates(v *view) {
 	heartbeat := i.now()-i.heartbeatAt >= heartbeatInterval
 	if heartbeat {
@@ -24,13 +25,15 @@
 	updates := collectUpdates(v, i.roleTable)
 	for _, p := range v.coordinators {
 		if records := recordsFor(updates, p.hash); len(records) > 0 || heartbeat {
-			i.send(records, p)
+			i.send(i.hooks.current(), records, p)
 		}
 	}
 }
 
 // sendLiveness sends to instances that are no coordinators when this instance last
-// received something from each live coordinator.
+// received something from each live coordinator. They send no datagrams, and may also
+// get a revision that this instance has only heard: if the store refuses the whole
+// zone, they read from other zones at once.
 func (i *Gossiper) sendLiveness(v *view) {
 	var records []record
 	for _, p := range i.roleTable.live {
@@ -38,18 +41,19 @@
 			records = append(records, peerRecord(p.hash, i.now()-time.Duration(at.(*atomic.Int64).Load())))
 		}
 	}
-	i.send(records, v.livenessRecipients(i.self.Locality().Zone(), i.roleTable.live)...)
+	revision := storer.LatestRevision(i.hooks.current(), i.heardRevision())
+	i.send(revision, records, v.livenessRecipients(i.self.Locality().Zone(), i.roleTable.live)...)
 }
 
-// sendRevision sends the store's revision to a random peer of another region.
+// sendRevision sends the revision that this instance has read to a random peer of another region.
 func (i *Gossiper) sendRevision(v *view) {
 	if len(v.remote) > 0 {
-		i.send(nil, v.remote[rand.IntN(len(v.remote))])
+		i.send(i.hooks.current(), nil, v.remote[rand.IntN(len(v.remote))])
 	}
 }
 
-func (i *Gossiper) send(records []record, peers ...peer) {
-	data, err := encode(i.hash, storer.LatestRevision(i.hooks.current(), i.knownRevision.Load()), records)
+func (i *Gossiper) send(revision storer.Revision, records []record, peers ...peer) {
+	data, err := encode(i.hash, revision, records)
 	if err != nil {
 		i.log.Error().Err(err).Msg("datagram could not be made")
 		return
@@ -86,8 +90,8 @@
 
 func (i *Gossiper) apply(from header, records []record) {
 	i.hooks.observed(from.revision())
-	i.knownRevision.Advance(from.revision())
 	now := i.now()
+	i.hear(from.revision(), now)
 	i.markSeen(from.Sender, now)
 	v := i.view.Load()
 	for _, r := range records {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -72,8 +72,8 @@
 	liveInstances atomic.Pointer[[]registrar.Instance]
 	heartbeatAt   time.Duration // Used by the run goroutine alone, as is roleTable.
 	roleTable     *roleTable
-	knownRevision storer.RevisionMark // The latest store revision that a peer has sent.
-	lastSeen      sync.Map            // From an instance's hash to *atomic.Int64, when it was last known to be alive.
+	heard         atomic.Pointer[hearsay]
+	lastSeen      sync.Map // From an instance's hash to *atomic.Int64, when it was last known to be alive.
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
 }
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -19,7 +19,8 @@
 	Version uint8
 	Count   uint8
 	Sender  uint32 // Hash of the sending instance's ID.
-	// Era and Revision are the latest store revision that the sender knows.
+	// Era and Revision are the store's revision that the sender has read. To instances
+	// that are no coordinators, it may be a later one that the sender has heard.
 	Era      int64
 	Revision int64
 }
--- a/gossiper/update_test.go
+++ b/gossiper/update_test.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -114,7 +115,7 @@
 			i.apply(header{Sender: local.hash, Era: 2, Revision: 7}, records)
 			c.Assert(i.live(v), qt.HasLen, test.live)
 			c.Assert(observed, qt.Equals, storer.NewRevision(2, 7))
-			c.Assert(i.knownRevision.Load(), qt.Equals, storer.NewRevision(2, 7))
+			c.Assert(i.heardRevision(), qt.Equals, storer.NewRevision(2, 7))
 		})
 	}
 }
@@ -139,14 +140,81 @@
 			var observed storer.Revision
 			i := &Gossiper{started: time.Now(), hooks: NewRevisionHooks(nil, func(r storer.Revision) { observed = r })}
 			i.view.Store(&view{})
-			i.knownRevision.Advance(test.known)
+			i.apply(header{Sender: 2, Era: test.known.Era(), Revision: test.known.Number()}, nil)
 			i.apply(header{Sender: 1, Era: test.got.Era(), Revision: test.got.Number()}, nil)
 			c.Assert(observed, qt.Equals, test.got)
-			c.Assert(i.knownRevision.Load(), qt.Equals, test.want)
+			c.Assert(i.heardRevision(), qt.Equals, test.want)
 		})
 	}
 }
 
+// Passed on between coordinators, one datagram with a revision that the store does not
+// have would go round for good, and make each instance read all keys again and again.
+func TestRevisionsThatArePassedOn(t *testing.T) {
+	at := storer.NewRevision
+	tests := []struct {
+		name          string
+		heard         []storer.Revision
+		ago           time.Duration // Since the first ones were heard.
+		last          storer.Revision
+		toCoordinator storer.Revision
+		toOther       storer.Revision
+	}{
+		{"none was heard", nil, 0, storer.Revision{}, at(1, 7), at(1, 7)},
+		{"a later one", []storer.Revision{at(1, 9)}, 0, storer.Revision{}, at(1, 7), at(1, 9)},
+		{"a later one of a later era", []storer.Revision{at(2, 5)}, 0, storer.Revision{}, at(1, 7), at(2, 5)},
+		{"an earlier one", []storer.Revision{at(1, 5)}, 0, storer.Revision{}, at(1, 7), at(1, 7)},
+		{"an earlier one after a later one", []storer.Revision{at(1, 9), at(1, 8)}, 0, storer.Revision{}, at(1, 7), at(1, 9)},
+		{"a later one, long ago", []storer.Revision{at(1, 9)}, time.Minute, storer.Revision{}, at(1, 7), at(1, 7)},
+		{"a far later one, long ago, and a later one", []storer.Revision{at(9, 1)}, time.Minute, at(1, 8), at(1, 7), at(1, 8)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			coordinator, coordinatorSocket := openPeer(c, "b1", "b")
+			other, otherSocket := openPeer(c, "a2", "a")
+			_, socket := openPeer(c, "a1", "a")
+			i := &Gossiper{
+				self: peerOf("a1", "a").instance, started: time.Now().Add(-time.Minute), socket: socket, roleTable: &roleTable{},
+				hooks: NewRevisionHooks(func() storer.Revision { return at(1, 7) }, func(storer.Revision) {}),
+			}
+			v := &view{coordinators: []peer{coordinator}, others: map[string][]peer{"a": {other}}}
+			i.view.Store(v)
+			for _, r := range test.heard {
+				i.apply(header{Sender: 1, Era: r.Era(), Revision: r.Number()}, nil)
+			}
+			i.started = i.started.Add(-test.ago)
+			if !test.last.IsZero() {
+				i.apply(header{Sender: 1, Era: test.last.Era(), Revision: test.last.Number()}, nil)
+			}
+			i.sendUpdates(v)
+			c.Assert(receiveRevision(c, coordinatorSocket), qt.Equals, test.toCoordinator)
+			c.Assert(receiveRevision(c, otherSocket), qt.Equals, test.toOther)
+		})
+	}
+}
+
+// openPeer returns a peer and its open port for datagrams.
+func openPeer(c *qt.C, id, zone string) (peer, *net.UDPConn) {
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { socket.Close() })
+	p := peerOf(id, zone)
+	p.address = socket.LocalAddr().(*net.UDPAddr)
+	return p, socket
+}
+
+// receiveRevision returns the revision in the next datagram.
+func receiveRevision(c *qt.C, socket *net.UDPConn) storer.Revision {
+	c.Assert(socket.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	buffer := make([]byte, maxDatagramSize)
+	n, err := socket.Read(buffer)
+	c.Assert(err, qt.IsNil)
+	from, _, err := decode(buffer[:n])
+	c.Assert(err, qt.IsNil)
+	return from.revision()
+}
+
 // One instance checks each worker: an instance of its own zone, if there is one.
 func TestOwnerOf(t *testing.T) {
 	live := []peer{peerOf("a1", "a"), peerOf("a2", "a"), peerOf("b1", "b")}
