Name the era as the reason when the answer of a probe is discarded

The log said "probe-failed", which means that the store does not answer, of a probe whose answer was discarded for its era. Cause: failureReason looked at the probe first.

Failed before:

TestFailureReason/a_probe_whose_answer_is_discarded got: "probe-failed" want: "era-stale"

--- a/follower/failure.go
+++ b/follower/failure.go
@@ -16,6 +16,9 @@
 	var compacted *storer.CompactedError
 	var status *storer.StatusError
 	var probe *ProbeError
+	if reason := eraReason(err); reason != "" {
+		return reason // Also of a probe: the store does answer.
+	}
 	switch {
 	case errors.As(err, &probe):
 		return "probe-failed"
@@ -28,9 +31,6 @@
 	case errors.As(err, &status):
 		return "status-" + strconv.Itoa(status.Status())
 	}
-	if reason := eraReason(err); reason != "" {
-		return reason
-	}
 	return "unreachable"
 }
 
