--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -45,7 +45,8 @@
 	i.send(revision, records, v.livenessRecipients(i.self.Locality().Zone(), i.roleTable.live)...)
 }
 
-// sendRevision sends the revision that this instance has read to a random peer of another region.
+// sendRevision sends the revision that this instance has read to a random peer of
+// another region.
 func (i *Gossiper) sendRevision(v *view) {
 	if len(v.remote) > 0 {
 		i.send(i.hooks.current(), nil, v.remote[rand.IntN(len(v.remote))])
