Fetch a later configuration from a peer that has it in force

What callers could see: 404 for a route, or the old service, from an instance that started after the store had gone back to an older copy and before the operator wrote again. It read the older configuration and reported ready.

A peer that is no coordinator answers a datagram that names an older version, as it sends none of its own accord. Every instance serves the value that it has in force, relay or not.

If the copy lists no peer, the configuration comes once the peers have registered again, which takes up to four seconds.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -15,6 +15,7 @@
 
 	"burdocklane/asserter"
 	"burdocklane/dispatcher"
+	"burdocklane/fetcher"
 	"burdocklane/follower"
 	"burdocklane/gossiper"
 	"burdocklane/healthchecker"
@@ -95,6 +96,9 @@
 	selector     *relayer.Selector
 	relay        *relayer.Relay
 	registration *registrant.Registrant
+	fetcher      *fetcher.Fetcher
+	peerClient   *relayer.ConfigurationClient
+	applying     sync.Mutex // Serializes configurations of the follower and the fetcher.
 	gossiper     *gossiper.Gossiper
 	scheduler    atomic.Pointer[scheduler.Scheduler]
 	readiness    *http.Server
@@ -166,9 +170,11 @@
 	relays := follower.NewRelays(p.selector.UsesRelays, p.selector.Next, p.selector.ReportFailure, catchUpTimeout).
 		WithFallback(p.selector.NextFallback)
 	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck))
+	p.peerClient = relayer.NewConfigurationClient()
+	p.fetcher = fetcher.New(fetcher.NewHooks(p.activeVersion, p.peerClient.Fetch, p.applyFetched), catchUpTimeout, p.log)
 	p.gossiper, err = gossiper.New(p.self(), p.publisher,
 		healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad),
-		gossiper.NewRevisionHooks(p.follower.Revision, p.follower.NotifyRevision), p.log)
+		gossiper.NewRevisionHooks(p.follower.Revision, p.follower.NotifyRevision).WithConfiguration(p.activeVersion, p.fetcher.Observe), p.log)
 	if err != nil {
 		return err
 	}
@@ -264,6 +270,10 @@
 	if p.follower != nil {
 		p.follower.Close()
 	}
+	if p.fetcher != nil {
+		p.fetcher.Close()
+		p.peerClient.Close()
+	}
 	if p.relay != nil {
 		p.relay.Close()
 	}
--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"burdocklane/descriptor"
+	adapter "burdocklane/platform"
 	"burdocklane/publisher"
 	"burdocklane/registrar"
 	"burdocklane/storer"
@@ -16,7 +17,7 @@
 	p.registration.Observe(stored.Pairs())
 	p.updateRelay(list, stored)
 	if changed != nil {
-		p.applyConfiguration(*changed)
+		p.applyConfiguration(*changed, configurationValue(usable), p.follower.Source())
 	}
 	p.publisher.PublishList(list)
 	if !p.hasList.Swap(true) {
@@ -27,14 +28,16 @@
 // applyConfiguration makes a configuration active unless it is older than the active
 // one, or the same: a store that has gone back to an older copy gives it out again. The
 // same revision with other content is active if it was written since the store went
-// back.
-func (p *Process) applyConfiguration(d descriptor.Deployment) {
-	source := p.follower.Source()
+// back. The value, from which it was parsed, is served to peers from then on.
+func (p *Process) applyConfiguration(d descriptor.Deployment, value []byte, source string) {
+	p.applying.Lock()
+	defer p.applying.Unlock()
 	err := p.publisher.PublishDeployment(d, source)
 	var notNewer *publisher.RevisionError
 	var otherContent *publisher.ContentError
 	switch {
 	case err == nil:
+		p.relay.PublishConfiguration(value)
 		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Msg("configuration is in force")
 	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
 	case errors.As(err, &otherContent):
@@ -44,6 +47,37 @@
 	}
 }
 
+// configurationValue returns the value of the configuration's key.
+func configurationValue(pairs []storer.Pair) []byte {
+	for _, pair := range pairs {
+		if pair.Key() == adapter.ConfigurationKey {
+			return pair.Value()
+		}
+	}
+	return nil
+}
+
+// unknownEra is before all eras of the store.
+const unknownEra = -1
+
+// applyFetched makes the configuration of a peer active as applyConfiguration does, and
+// returns its version.
+func (p *Process) applyFetched(value []byte, source string) (descriptor.Revision, error) {
+	d, err := adapter.ParseConfiguration(value)
+	if err != nil {
+		return 0, err
+	}
+	// What the store itself holds at this revision replaces it: the era of the peer's read is unknown.
+	d = d.WithOrigin(descriptor.NewOrigin(unknownEra, value))
+	p.applyConfiguration(d, value, source)
+	return d.Revision(), nil
+}
+
+// activeVersion returns the version of the configuration in force, or 0.
+func (p *Process) activeVersion() descriptor.Revision {
+	return p.publisher.Current().Deployment().Revision()
+}
+
 // updateRelay serves the stored keys to peers if this instance is a relay, and
 // stops serving them otherwise.
 func (p *Process) updateRelay(list registrar.List, stored storer.RangeResult) {
--- a/bootstrapper/store_faults_test.go
+++ b/bootstrapper/store_faults_test.go
@@ -1,6 +1,7 @@
 package bootstrapper_test
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,10 @@
 	// registrationTime is more than the instances need to register each other; then
 	// their polls of the store wait for a change.
 	registrationTime = time.Second
+	// peersReturnTime is how long instances that a restored store does not list may take
+	// to be listed again: a missing key is retained for two seconds, and its writer waits
+	// for up to two seconds.
+	peersReturnTime = 4 * time.Second
 )
 
 // verifyNoLeaks fails the test if goroutines are left over after it and its subtests.
@@ -155,3 +160,41 @@
 		i.assertServed("/c/1", contactTime)
 	}
 }
+
+// Guards against an instance that starts after the store has gone back, and serves the
+// older configuration of the copy while its peers have the newer one in force.
+func TestLateInstanceTakesConfigurationFromPeers(t *testing.T) {
+	verifyNoLeaks(t)
+	tests := []struct {
+		name     string
+		instance string
+		zone     string
+		copied   int64 // The revision of the copy: a worker and a configuration have been written at 2.
+		timeout  time.Duration
+	}{
+		{"reads from a relay", "edge-zz", "z", math.MaxInt64, applyTime},
+		{"is the relay", "edge-0", "z", math.MaxInt64, applyTime},
+		{"finds no peers in the copy", "edge-zz", "z", 2, peersReturnTime + applyTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store, instances, _ := startZones(c)
+			backup := store.BackupOf(test.copied)
+			store.Put("op/config", configuration(2, "/b/"))
+			for _, i := range instances {
+				i.assertServed("/b/1", applyTime)
+			}
+			store.Restore(backup)
+			late := startInstance(c, store, test.instance, test.zone, store.Address())
+			c.Cleanup(func() { c.Check(late.instance.Close(), qt.IsNil) })
+			late.assertServed("/b/1", test.timeout)
+			for _, i := range instances {
+				i.assertServed("/b/1", 0)
+			}
+			store.Put("op/config", configuration(3, "/c/"))
+			late.assertServed("/c/1", applyTime)
+		})
+	}
+}
--- /dev/null
+++ b/fetcher/fetcher.go
@@ -0,0 +1,173 @@
+// Package fetcher fetches the configuration from a peer that has a later one in force
+// than this instance, which may have read an older copy of the store.
+package fetcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/registrar"
+	"burdocklane/sleeper"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// baseBackoff is the pause after the first failed fetch from a peer.
+	baseBackoff = 200 * time.Millisecond
+	// maxBackoff bounds the pause between fetches from a peer that names a version
+	// which it does not deliver.
+	maxBackoff = 5 * time.Second
+	// queueSize is how many claims wait. More are dropped: peers repeat them.
+	queueSize = 16
+)
+
+// NotLaterError reports a peer that delivered a configuration which is not later than
+// the one in force, although it had named a later one.
+type NotLaterError struct {
+	have  descriptor.Revision
+	got   descriptor.Revision
+	named descriptor.Revision
+}
+
+// Error implements error.
+func (e *NotLaterError) Error() string {
+	return fmt.Sprintf("peer named version %d and delivered %d, which is not later than the active %d", e.named, e.got, e.have)
+}
+
+// Hooks connects a Fetcher to the rest of the instance: inForce returns the version of
+// the configuration in force, or 0; fetch returns the value that the peer at host:port
+// has in force; and apply puts a valid, later value in force and returns its version.
+type Hooks struct {
+	inForce func() descriptor.Revision
+	fetch   func(ctx context.Context, address string) ([]byte, error)
+	apply   func(value []byte, source string) (descriptor.Revision, error)
+}
+
+// NewHooks returns the hooks.
+func NewHooks(inForce func() descriptor.Revision, fetch func(ctx context.Context, address string) ([]byte, error), apply func(value []byte, source string) (descriptor.Revision, error)) Hooks {
+	return Hooks{inForce: inForce, fetch: fetch, apply: apply}
+}
+
+// claim is what a peer has said: that it has a version in force.
+type claim struct {
+	peer    registrar.Instance
+	version descriptor.Revision
+}
+
+// failure is the record of a peer that did not deliver a later configuration.
+type failure struct {
+	count int
+	until time.Time // No fetch is made from the peer before.
+}
+
+// Fetcher fetches later configurations from peers, one at a time.
+type Fetcher struct {
+	hooks      Hooks
+	grace      time.Duration
+	log        zerolog.Logger
+	claims     chan claim
+	failures   map[registrar.InstanceID]failure // Used by the run goroutine alone, as are the fields below.
+	behindAt   descriptor.Revision              // The version in force when peers first named a later one.
+	behind     time.Time
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
+}
+
+// New returns a running Fetcher. grace is how long a later version may take to arrive
+// from the store or a relay before it is fetched from a peer.
+func New(hooks Hooks, grace time.Duration, log zerolog.Logger) *Fetcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fetcher{
+		hooks: hooks, grace: grace, log: log, cancel: cancel,
+		claims: make(chan claim, queueSize), failures: map[registrar.InstanceID]failure{},
+	}
+	f.goroutines.Go(func() { f.run(ctx) })
+	return f
+}
+
+// Close ends a fetch in progress and waits for it.
+func (f *Fetcher) Close() {
+	f.cancel()
+	f.goroutines.Wait()
+}
+
+// Observe gets the version that a listed peer says it has in force. It does not block.
+func (f *Fetcher) Observe(peer registrar.Instance, version descriptor.Revision) {
+	if version <= f.hooks.inForce() {
+		return
+	}
+	select {
+	case f.claims <- claim{peer: peer, version: version}:
+	default:
+	}
+}
+
+func (f *Fetcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-f.claims:
+			f.handle(ctx, c)
+		}
+	}
+}
+
+// handle fetches from the peer unless the version has arrived within the grace, or the
+// peer failed a short time ago.
+func (f *Fetcher) handle(ctx context.Context, c claim) {
+	if c.version <= f.hooks.inForce() || time.Now().Before(f.failures[c.peer.ID()].until) {
+		return
+	}
+	if !sleeper.Sleep(ctx, f.remainingGrace()) || c.version <= f.hooks.inForce() {
+		return
+	}
+	err := f.fetch(ctx, c)
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		delete(f.failures, c.peer.ID())
+		return
+	}
+	f.recordFailure(c, err)
+}
+
+// remainingGrace returns what is left of the grace since peers first named a later
+// version than the one in force.
+func (f *Fetcher) remainingGrace() time.Duration {
+	if have := f.hooks.inForce(); f.behind.IsZero() || f.behindAt != have {
+		f.behind, f.behindAt = time.Now(), have
+	}
+	return f.grace - time.Since(f.behind)
+}
+
+// fetch puts the peer's configuration in force. It returns an error if that is not later
+// than the one in force.
+func (f *Fetcher) fetch(ctx context.Context, c claim) error {
+	value, err := f.hooks.fetch(ctx, c.peer.PeerAddress())
+	if err != nil {
+		return err
+	}
+	have := f.hooks.inForce()
+	if c.version <= have { // It has arrived meanwhile.
+		return nil
+	}
+	got, err := f.hooks.apply(value, "peer "+c.peer.PeerAddress())
+	if err == nil && got <= have {
+		return &NotLaterError{have: have, got: got, named: c.version}
+	}
+	return err
+}
+
+func (f *Fetcher) recordFailure(c claim, err error) {
+	count := f.failures[c.peer.ID()].count
+	pause := sleeper.Backoff(baseBackoff, maxBackoff, count)
+	f.failures[c.peer.ID()] = failure{count: count + 1, until: time.Now().Add(pause)}
+	f.log.Info().Err(err).Str("source", "peer "+c.peer.PeerAddress()).Int64("revision", int64(c.version)).
+		Msg("later configuration could not be fetched from a peer")
+}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -31,7 +31,7 @@
 }
 
 // sendLiveness sends to instances that are no coordinators when this instance last
-// received something from each live coordinator. They send no datagrams, and may also
+// received something from each live coordinator. They pass no revision on, and may also
 // get a revision that this instance has only heard: if the store refuses the whole
 // zone, they read from other zones at once.
 func (i *Gossiper) sendLiveness(v *view) {
@@ -54,7 +54,7 @@
 }
 
 func (i *Gossiper) send(revision storer.Revision, records []record, peers ...peer) {
-	data, err := encode(i.hash, revision, records)
+	data, err := encode(i.hash, revision, i.hooks.configuration(), records)
 	if err != nil {
 		i.log.Error().Err(err).Msg("datagram could not be made")
 		return
@@ -95,6 +95,7 @@
 	i.hear(from.revision(), now)
 	i.markSeen(from.Sender, now)
 	v := i.view.Load()
+	i.compareConfiguration(v, from)
 	for _, r := range records {
 		if r.Flags&flagPeer != 0 {
 			i.markSeen(r.Worker, now-time.Duration(r.AgeMs)*time.Millisecond)
@@ -106,6 +107,22 @@
 	}
 }
 
+// compareConfiguration reports a peer that has a later configuration in force than
+// this instance. It answers one that has an older one, unless this instance is a
+// coordinator, which sends heartbeats anyway.
+func (i *Gossiper) compareConfiguration(v *view, from header) {
+	p, ok := v.peers[from.Sender]
+	if !ok {
+		return
+	}
+	switch own := i.hooks.configuration(); {
+	case from.configuration() > own:
+		i.hooks.later(p.instance, from.configuration())
+	case from.configuration() < own && !v.isCoordinator:
+		i.send(i.hooks.current(), nil, p)
+	}
+}
+
 // markSeen records when a peer was alive, by its own datagram or by the record of
 // another peer.
 func (i *Gossiper) markSeen(peer uint32, at time.Duration) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/descriptor"
 	"burdocklane/healthchecker"
 	"burdocklane/publisher"
 	"burdocklane/registrar"
@@ -46,16 +47,31 @@
 
 // RevisionHooks connects the gossip of the store's revision to the store's client: current
 // returns the revision that this instance has, and observed gets the revision of
-// each received datagram, which may be later.
+// each received datagram, which may be later. configuration returns the version of the
+// configuration in force, and later gets the peers that have a later one.
 type RevisionHooks struct {
-	current  func() storer.Revision
-	observed func(storer.Revision)
+	current       func() storer.Revision
+	observed      func(storer.Revision)
+	configuration func() descriptor.Revision
+	later         func(peer registrar.Instance, version descriptor.Revision)
 }
 
 // NewRevisionHooks returns the hooks that read the store's revision and observe the revisions
 // of peers.
 func NewRevisionHooks(current func() storer.Revision, observed func(storer.Revision)) RevisionHooks {
-	return RevisionHooks{current: current, observed: observed}
+	return RevisionHooks{
+		current: current, observed: observed,
+		configuration: func() descriptor.Revision { return 0 },
+		later:         func(registrar.Instance, descriptor.Revision) {},
+	}
+}
+
+// WithConfiguration returns the hooks that also compare versions of the configuration:
+// current returns the one in force, or 0, and later gets each datagram of a peer that
+// names a later one. It must not block.
+func (h RevisionHooks) WithConfiguration(current func() descriptor.Revision, later func(peer registrar.Instance, version descriptor.Revision)) RevisionHooks {
+	h.configuration, h.later = current, later
+	return h
 }
 
 // Gossiper runs health checks and exchanges datagrams with other instances.
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdocklane/decoder"
+	"burdocklane/descriptor"
 	"burdocklane/storer"
 	"burdocklane/tracker"
 )
@@ -23,10 +24,14 @@
 	// that are no coordinators, it may be a later one that the sender has heard.
 	Era      int64
 	Revision int64
+	// Configuration is the version of the configuration that the sender has in force, or 0.
+	Configuration int64
 }
 
 func (h header) revision() storer.Revision { return storer.NewRevision(h.Era, h.Revision) }
 
+func (h header) configuration() descriptor.Revision { return descriptor.Revision(h.Configuration) }
+
 // record holds the sender's number of calls at a worker, with the worker's load
 // report or the fact that it did not answer. A record of a peer holds the time since
 // its last datagram.
@@ -69,10 +74,11 @@
 	return record{Worker: peer, Flags: flagPeer, AgeMs: clampUint8(ago.Milliseconds())}
 }
 
-func encode(sender uint32, revision storer.Revision, records []record) ([]byte, error) {
+func encode(sender uint32, revision storer.Revision, configuration descriptor.Revision, records []record) ([]byte, error) {
 	records = records[:min(len(records), maxRecords)]
 	data, err := decoder.Append(nil, header{
 		Version: formatVersion, Count: uint8(len(records)), Sender: sender, Era: revision.Era(), Revision: revision.Number(),
+		Configuration: int64(configuration),
 	})
 	if err != nil {
 		return nil, err
--- a/gossiper/message_test.go
+++ b/gossiper/message_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"burdocklane/decoder"
+	"burdocklane/descriptor"
 	"burdocklane/storer"
 	"burdocklane/tracker"
 
@@ -26,12 +27,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			data, err := encode(5, storer.NewRevision(2, 77), test.records)
+			data, err := encode(5, storer.NewRevision(2, 77), 14, test.records)
 			c.Assert(err, qt.IsNil)
 			from, got, err := decode(data)
 			c.Assert(err, qt.IsNil)
 			c.Assert(from.Sender, qt.Equals, uint32(5))
 			c.Assert(from.revision(), qt.Equals, storer.NewRevision(2, 77))
+			c.Assert(from.configuration(), qt.Equals, descriptor.Revision(14))
 			c.Assert(got, qt.DeepEquals, test.records)
 			_, _, err = decode(data[:len(data)-1])
 			var bad *decoder.DatagramError
@@ -55,7 +57,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			data, err := encode(5, storer.NewRevision(2, 77), nil)
+			data, err := encode(5, storer.NewRevision(2, 77), 14, nil)
 			c.Assert(err, qt.IsNil)
 			data[0] = test.version
 			_, _, err = decode(data)
@@ -76,7 +78,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	data, err := encode(1, storer.NewRevision(1, 2), []record{{Worker: 3}})
+	data, err := encode(1, storer.NewRevision(1, 2), 3, []record{{Worker: 3}})
 	qt.Assert(f, err, qt.IsNil)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -17,6 +17,7 @@
 	isCoordinator bool              // Whether this instance is one.
 	others        map[string][]peer // Of the region, not coordinators, by availability zone.
 	remote        []peer            // Of other regions.
+	peers         map[uint32]peer   // All of them, by the hash of their ID.
 }
 
 type peer struct {
@@ -28,7 +29,7 @@
 // newView builds the view of a snapshot. It keeps the state of targets that are also
 // in the old view.
 func newView(s *publisher.Snapshot, self registrar.Instance, old *view) *view {
-	v := &view{snapshot: s, byHash: map[uint32]*target{}, others: map[string][]peer{}}
+	v := &view{snapshot: s, byHash: map[uint32]*target{}, others: map[string][]peer{}, peers: map[uint32]peer{}}
 	for _, service := range s.Deployment().Services() {
 		serviceState := s.ServiceState(service.Name())
 		if serviceState == nil {
@@ -60,6 +61,7 @@
 			continue
 		}
 		p := peer{hash: registrar.Hash(string(instance.ID())), instance: instance, address: address}
+		v.peers[p.hash] = p
 		if instance.Locality().Region() == self.Locality().Region() {
 			v.addLocal(p, coordinatorIDs[instance.ID()])
 			continue
--- /dev/null
+++ b/relayer/configuration.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"burdocklane/storer"
+)
+
+const pathConfiguration = "/relay/configuration"
+
+// PublishConfiguration publishes the value of the configuration in force, a JSON
+// document with its version, which this instance serves to its peers whether or not it
+// is a relay.
+func (r *Relay) PublishConfiguration(value []byte) { r.active.Store(&value) }
+
+// serveConfiguration responds with the configuration in force, as it was read from the
+// store.
+func (r *Relay) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
+	value := r.active.Load()
+	if value == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	relayedResponses.Inc()
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(*value) //nolint:errcheck // The client fails to decode a truncated response.
+}
+
+// ConfigurationClient fetches the configurations that peers have in force.
+type ConfigurationClient struct{ client *http.Client }
+
+// NewConfigurationClient returns a client without connections.
+func NewConfigurationClient() *ConfigurationClient {
+	return &ConfigurationClient{client: newClient()}
+}
+
+// Close closes the idle connections.
+func (c *ConfigurationClient) Close() { c.client.CloseIdleConnections() }
+
+// Fetch returns the value of the configuration that the peer at host:port has in force.
+func (c *ConfigurationClient) Fetch(ctx context.Context, address string) ([]byte, error) {
+	var value json.RawMessage
+	s := &source{base: "http://" + address, client: c.client, knownRevision: func() storer.Revision { return storer.Revision{} }}
+	err := s.get(ctx, pathConfiguration, nil, 0, &value)
+	return value, err
+}
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -57,6 +57,7 @@
 	followsStore func() bool // Reports whether this instance follows the store itself and reaches it.
 	serving      atomic.Bool
 	keys         atomic.Pointer[snapshot]
+	active       atomic.Pointer[[]byte] // The value of the configuration in force, or nil.
 	address      string
 	server       *http.Server
 	ctx          context.Context
@@ -78,6 +79,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(pathKeys, r.serveKeys).Methods(http.MethodGet)
 	router.HandleFunc(pathChanges, r.serveChanges).Methods(http.MethodGet)
+	router.HandleFunc(pathConfiguration, r.serveConfiguration).Methods(http.MethodGet)
 	r.server = &http.Server{Handler: router, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	r.running.Go(func() {
 		if err := r.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
