Do not end a watch for a probe that a lagging replica answers

An answer of an older era shows that the store is reachable, as a refusal does: three in a row end the watch. TestUnusableAnswersToProbesEndAWatchLate failed before in its row 'an answer of an older era'.

--- a/follower/probe.go
+++ b/follower/probe.go
@@ -18,8 +18,8 @@
 	// probeTimeoutRatio is the timeout of a probe as a multiple of the time that the
 	// last read of the keys took: a slow store is not a silent one.
 	probeTimeoutRatio = 2
-	// maxRefusedProbes is how many probes in a row the store may refuse before the
-	// watch is ended. A refusal shows that the store is reachable.
+	// maxRefusedProbes is how many probes in a row may get an answer without a usable
+	// revision before the watch is ended. An answer shows that the store is reachable.
 	maxRefusedProbes = 3
 )
 
@@ -54,14 +54,21 @@
 			f.NotifyRevision(revision)
 			continue
 		}
-		var status *storer.StatusError
-		if refused++; !errors.As(err, &status) || refused >= maxRefusedProbes {
+		if refused++; !isAnswer(err) || refused >= maxRefusedProbes {
 			end(&ProbeError{cause: err})
 			return
 		}
 	}
 }
 
+// isAnswer reports whether a failed probe got an answer: a refusal, or one of a replica
+// of the store that lags.
+func isAnswer(err error) bool {
+	var status *storer.StatusError
+	var stale *storer.StaleEraError
+	return errors.As(err, &status) || errors.As(err, &stale)
+}
+
 func (f *Follower) probe(ctx context.Context, timeout time.Duration) (storer.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -161,31 +161,44 @@
 	}
 }
 
-// Guards against a store that refuses probes, by a rate limit, and is read again and
-// again although its watch works.
-func TestRefusedProbesEndAWatchLate(t *testing.T) {
+// Guards against a store that refuses probes, by a rate limit, or answers them from a
+// replica that lags, and is read again and again although its watch works.
+func TestUnusableAnswersToProbesEndAWatchLate(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	c := qt.New(t)
-	var reads, probes atomic.Int64
-	limited := storer.NewRemote(
-		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
-			reads.Add(1)
-			return storer.NewRangeResult(nil, revision(100)), nil
-		}),
-		storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
-			return storer.Batch{}, blockUntilDone(ctx)
-		}, 0),
-		storer.WithProbe(func(context.Context) (storer.Revision, error) {
-			if probes.Add(1)%3 == 0 {
-				return revision(100), nil
+	tests := []struct {
+		name  string
+		err   error
+		reads int64 // After five probes.
+	}{
+		{"too many requests", storer.NewStatusError("probe", 429, ""), 1},
+		{"an answer of an older era", storer.NewStaleEraError("probe", 1, 2), 1},
+		{"no answer", errors.New("connection reset"), 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var reads, probes atomic.Int64
+			s := storer.NewRemote(
+				storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+					reads.Add(1)
+					return storer.NewRangeResult(nil, revision(100)), nil
+				}),
+				storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+					return storer.Batch{}, blockUntilDone(ctx)
+				}, 0),
+				storer.WithProbe(func(context.Context) (storer.Revision, error) {
+					if probes.Add(1)%3 == 0 {
+						return revision(100), nil
+					}
+					return storer.Revision{}, test.err
+				}))
+			f := follower.New(s, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop())
+			f.Start()
+			defer f.Close()
+			for probes.Load() < 6 { // The third and the sixth succeed.
+				time.Sleep(time.Millisecond)
 			}
-			return storer.Revision{}, storer.NewStatusError("probe", 429, "")
-		}))
-	f := follower.New(limited, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop())
-	f.Start()
-	defer f.Close()
-	for probes.Load() < 5 {
-		time.Sleep(time.Millisecond)
+			c.Assert(reads.Load(), qt.Equals, test.reads)
+		})
 	}
-	c.Assert(reads.Load(), qt.Equals, int64(1))
 }
