--- /dev/null
+++ b/relayer/endless_test.go
@@ -0,0 +1,53 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+
+	"burdocklane/holder"
+	"burdocklane/storer"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+)
+
+// Guards against a response without end that is read until the memory is full, or of
+// which only the beginning is used.
+func TestResponsesOfARelayWithoutEnd(t *testing.T) {
+	const allocatedLimit = 6 * maxResponseBytes // Reading a body doubles its buffer repeatedly.
+	tests := []struct{ name, start, part string }{
+		{"value", `{"incarnation":"i","revision":8,"pairs":[{"key":"a","revision":8,"value":"`, "AAAA"},
+		{"spaces after a whole message", `{"incarnation":"i","revision":8,"pairs":[]}`, "    "},
+		{"keys", `{"incarnation":"i","revision":8,"pairs":[`, `{"key":"a","value":"MQ==","revision":8},`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, test.start)
+				for block := strings.Repeat(test.part, 8<<10); ; {
+					if _, err := io.WriteString(w, block); err != nil {
+						return
+					}
+				}
+			}))
+			defer server.Close()
+			client := newClient()
+			defer client.CloseIdleConnections()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			source := newSource(client, strings.TrimPrefix(server.URL, "http://"), func() storer.Revision { return storer.Revision{} })
+			_, err := storer.Range(context.Background(), source, "")
+			runtime.ReadMemStats(&after)
+			var tooLong *holder.TooLongError
+			c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
+			allocated := after.TotalAlloc - before.TotalAlloc
+			c.Assert(allocated < allocatedLimit, qt.IsTrue, qt.Commentf("%d bytes", allocated))
+		})
+	}
+}
