Answer a peer of another region that has an older configuration

Coordinators send heartbeats within their region only: a late instance that is alone in its region heard of the later version by a random datagram every half second at best. The new row of TestVersionsOfConfigurations failed before.

--- a/gossiper/configuration_test.go
+++ b/gossiper/configuration_test.go
@@ -21,20 +21,23 @@
 	tests := []struct {
 		name          string
 		isCoordinator bool
+		region        string // Of the tested instance. The peer is in r.
 		unlisted      bool
 		version       descriptor.Revision
 		later         bool // Whether the later version is reported.
 		answered      bool
 	}{
-		{"a later version", false, false, own + 1, true, false},
-		{"a later version, to a coordinator", true, false, own + 1, true, false},
-		{"a later version of an unlisted instance", false, true, own + 1, false, false},
-		{"the same version", false, false, own, false, false},
-		{"an older version", false, false, own - 1, false, true},
-		{"an older version, to a coordinator", true, false, own - 1, false, false},
-		{"no configuration", false, false, 0, false, true},
-		{"an older version of an unlisted instance", false, true, own - 1, false, false},
-		{"a negative version", false, false, -1, false, true},
+		{"a later version", false, "r", false, own + 1, true, false},
+		{"a later version, to a coordinator", true, "r", false, own + 1, true, false},
+		{"a later version of an unlisted instance", false, "r", true, own + 1, false, false},
+		{"the same version", false, "r", false, own, false, false},
+		{"an older version", false, "r", false, own - 1, false, true},
+		{"an older version, to a coordinator", true, "r", false, own - 1, false, false},
+		{"an older version in another region, to a coordinator", true, "q", false, own - 1, false, true},
+		{"the same version in another region, to a coordinator", true, "q", false, own, false, false},
+		{"no configuration", false, "r", false, 0, false, true},
+		{"an older version of an unlisted instance", false, "r", true, own - 1, false, false},
+		{"a negative version", false, "r", false, -1, false, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -49,7 +52,8 @@
 					c.Check(peer.ID(), qt.Equals, sender.instance.ID())
 					reported = append(reported, version)
 				})
-			i := &Gossiper{started: time.Now(), hash: 7, hooks: hooks, socket: socket, log: zerolog.Nop()}
+			self := registrar.NewInstance("self", "", "", registrar.NewLocality(test.region, "z"), false)
+			i := &Gossiper{self: self, started: time.Now(), hash: 7, hooks: hooks, socket: socket, log: zerolog.Nop()}
 			v := &view{isCoordinator: test.isCoordinator, peers: map[uint32]peer{}}
 			if !test.unlisted {
 				v.peers[sender.hash] = sender
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -109,16 +109,17 @@
 
 // compareConfiguration reports a peer that has a later configuration in force than
 // this instance. It answers one that has an older one, unless this instance is a
-// coordinator, which sends heartbeats anyway.
+// coordinator of the same region, which sends heartbeats anyway.
 func (i *Gossiper) compareConfiguration(v *view, from header) {
 	p, ok := v.peers[from.Sender]
 	if !ok {
 		return
 	}
+	sendsHeartbeats := v.isCoordinator && p.instance.Locality().Region() == i.self.Locality().Region()
 	switch own := i.hooks.configuration(); {
 	case from.configuration() > own:
 		i.hooks.later(p.instance, from.configuration())
-	case from.configuration() < own && !v.isCoordinator:
+	case from.configuration() < own && !sendsHeartbeats:
 		i.send(i.hooks.current(), nil, p)
 	}
 }
