--- a/relayer/configuration.go
+++ b/relayer/configuration.go
@@ -42,7 +42,7 @@
 // Fetch returns the value of the configuration that the peer at host:port has in force.
 func (c *ConfigurationClient) Fetch(ctx context.Context, address string) ([]byte, error) {
 	var value json.RawMessage
-	s := &source{base: "http://" + address, client: c.client, knownRevision: func() storer.Revision { return storer.Revision{} }}
+	s := &source{base: "http://" + address, client: c.client, knownRevision: func() storer.Revision { return storer.Revision{} }, maxBytes: maxResponseBytes}
 	err := s.get(ctx, pathConfiguration, nil, 0, &value)
 	return value, err
 }
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -19,7 +19,10 @@
 // Guards against a response without end that is read until the memory is full, or of
 // which only the beginning is used.
 func TestResponsesOfARelayWithoutEnd(t *testing.T) {
-	const allocatedLimit = 6 * maxResponseBytes // Reading a body doubles its buffer repeatedly.
+	const (
+		maxBytes       = 1 << 20
+		allocatedLimit = 6 * maxBytes // Reading a body doubles its buffer repeatedly.
+	)
 	tests := []struct{ name, start, part string }{
 		{"value", `{"incarnation":"i","revision":8,"pairs":[{"key":"a","revision":8,"value":"`, "AAAA"},
 		{"spaces after a whole message", `{"incarnation":"i","revision":8,"pairs":[]}`, "    "},
@@ -41,8 +44,8 @@
 			defer client.CloseIdleConnections()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			source := newSource(client, strings.TrimPrefix(server.URL, "http://"), func() storer.Revision { return storer.Revision{} })
-			_, err := storer.Range(context.Background(), source, "")
+			s := &source{base: server.URL, client: client, knownRevision: func() storer.Revision { return storer.Revision{} }, maxBytes: maxBytes}
+			_, err := s.readRange(context.Background(), "")
 			runtime.ReadMemStats(&after)
 			var tooLong *holder.TooLongError
 			c.Assert(errors.As(err, &tooLong), qt.IsTrue, qt.Commentf("%v", err))
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -180,6 +180,7 @@
 	c.Assert(b.Events(), qt.HasLen, 2)
 	c.Assert(b.Events()[0].Deleted(), qt.IsTrue)
 	followsStore.Store(false)
+	r.Recheck()
 	var status *storer.StatusError
 	c.Assert(errors.As(<-ended, &status), qt.IsTrue)
 }
@@ -199,7 +200,7 @@
 	}
 	client := newClient()
 	defer client.CloseIdleConnections()
-	s := &source{base: "http://" + relays[0].Address(), client: client, knownRevision: func() storer.Revision { return storer.Revision{} }}
+	s := &source{base: "http://" + relays[0].Address(), client: client, knownRevision: func() storer.Revision { return storer.Revision{} }, maxBytes: maxResponseBytes}
 	_, err := s.readRange(context.Background(), "")
 	c.Assert(err, qt.IsNil)
 	s.base = "http://" + relays[1].Address()
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -27,6 +27,7 @@
 	base          string
 	client        *http.Client
 	knownRevision func() storer.Revision
+	maxBytes      int64  // Bounds a response.
 	incarnation   string // Of the relay. Used only by the follower's goroutine, as is the cursor.
 	cursor        int64
 }
@@ -39,7 +40,7 @@
 // asked for keys at knownRevision or later. The source must not be used
 // concurrently.
 func newSource(client *http.Client, address string, knownRevision func() storer.Revision) *storer.Remote {
-	s := &source{base: "http://" + address, client: client, knownRevision: knownRevision}
+	s := &source{base: "http://" + address, client: client, knownRevision: knownRevision, maxBytes: maxResponseBytes}
 	return storer.NewRemote(storer.WithName("relay "+address), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
 }
 
@@ -85,7 +86,7 @@
 	if response.StatusCode != http.StatusOK {
 		return storer.NewStatusError("relay", response.StatusCode, "")
 	}
-	data, err := holder.ReadLimited(response.Body, maxResponseBytes)
+	data, err := holder.ReadLimited(response.Body, s.maxBytes)
 	if err != nil {
 		return errors.Wrap(err, "relay")
 	}
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -113,7 +113,7 @@
 
 func newFleet(t *testing.T, binary string) *fleet {
 	c := qt.New(t)
-	dir := filepath.Join(os.TempDir(), "burdocklane-soak", strings.ReplaceAll(t.Name(), "/", "-"))
+	dir := filepath.Join(os.TempDir(), "burdocklane-soak", strconv.Itoa(os.Getpid()), strings.ReplaceAll(t.Name(), "/", "-"))
 	c.Assert(os.RemoveAll(dir), qt.IsNil)
 	c.Assert(os.MkdirAll(dir, 0o700), qt.IsNil)
 	f := &fleet{c: c, launcher: launcher.New(binary, dir, launcher.WithOutputLogged()), store: imitator.NewStore()}
