Judge the routes of a process in the soak only while it lives

The check held what the next process answered against the one before, since that is replaced in the list only when the start is done. A new process may begin with the copy; that it is corrected is checked by awaitVersion and by TestLateInstanceTakesConfigurationFromPeers.

A process is judged until the start of the next one.

--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -84,6 +84,9 @@
 	instance *instance
 	process  *launcher.Process
 	callers  string
+	// replaced reports that the process has ended, and that the next one of the instance
+	// starts or has started at the same address.
+	replaced atomic.Bool
 	mutex    sync.Mutex // Guards the fields below.
 	// disturbed reports that a fault may have aborted calls.
 	disturbed    bool
@@ -240,6 +243,9 @@
 
 // start starts a new process of the instance.
 func (f *fleet) start(i *instance) {
+	if last := f.currentIncarnation(i); last != nil {
+		last.replaced.Store(true)
+	}
 	p, err := f.launcher.Start(i.name, "--settings", i.settings)
 	f.c.Assert(err, qt.IsNil)
 	f.c.Check(p.AwaitOutput(), qt.IsNil)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -83,6 +83,7 @@
 	{37, "same as 31"},
 	{40, "same as 31"},
 	{115, "the store went back to an older copy, whose revisions passed for old ones"},
+	{518, "a call to a process that had ended reached the next one, which knew an older copy only"},
 }
 
 const (
@@ -187,6 +188,7 @@
 			switch status := f.probe(ctx, i, latest); {
 			case status == http.StatusOK:
 				i.latestServed = max(i.latestServed, latest)
+			case i.replaced.Load(): // The next process of the instance may have answered.
 			case status == http.StatusNotFound && latest <= i.latestServed:
 				f.c.Errorf("%s reverted to a configuration older than %d", i.process.Name(), latest)
 			}
--- a/soaker/timing_test.go
+++ b/soaker/timing_test.go
@@ -82,7 +82,7 @@
 func (f *fleet) observeActivation(ctx context.Context, i *incarnation) {
 	now := time.Now()
 	version := f.dueVersion(now)
-	if version == 0 || f.probe(ctx, i, version) != http.StatusNotFound {
+	if version == 0 || f.probe(ctx, i, version) != http.StatusNotFound || i.replaced.Load() {
 		return
 	}
 	f.mutex.Lock()
