Group instances by locality in one place

Coordinators, CoordinatorsByRank and CoordinatorsOfZone each collected the members of zones in a loop of their own. No change of behaviour; the tests are the same.

--- a/registrar/coordinators.go
+++ b/registrar/coordinators.go
@@ -15,14 +15,8 @@
 // instance computes the same result without an exchange of messages. The cost of
 // coordination thus grows with the number of zones and not of instances.
 func Coordinators(instances []Instance, region string) []Instance {
-	zones := map[string][]Instance{}
-	for _, i := range instances {
-		if i.Locality().Region() == region && !i.Leaving() {
-			zones[i.Locality().Zone()] = append(zones[i.Locality().Zone()], i)
-		}
-	}
 	var coordinators []Instance
-	for _, members := range zones {
+	for _, members := range byLocality(instances, func(l Locality) bool { return l.Region() == region }) {
 		coordinators = append(coordinators, topRanked(members)...)
 	}
 	slices.SortFunc(coordinators, func(a, b Instance) int { return cmp.Compare(a.id, b.id) })
@@ -34,15 +28,9 @@
 // first. Instances at the same locality get different orders among equally distant
 // ones, so that they do not all turn to the same coordinator.
 func CoordinatorsByRank(instances []Instance, self Instance) []Instance {
-	zones := map[Locality][]Instance{}
-	for _, i := range instances {
-		if !i.Leaving() {
-			zones[i.Locality()] = append(zones[i.Locality()], i)
-		}
-	}
 	var coordinators []Instance
 	ranks := map[InstanceID]int{}
-	for _, members := range zones {
+	for _, members := range byLocality(instances, func(Locality) bool { return true }) {
 		for rank, i := range topRanked(members) {
 			ranks[i.ID()] = rank
 			coordinators = append(coordinators, i)
@@ -61,13 +49,19 @@
 
 // CoordinatorsOfZone returns the coordinators in an availability zone in order of rank.
 func CoordinatorsOfZone(instances []Instance, locality Locality) []Instance {
-	var members []Instance
+	return topRanked(byLocality(instances, func(l Locality) bool { return l == locality })[locality])
+}
+
+// byLocality returns the instances that are not about to stop, by the localities to
+// include.
+func byLocality(instances []Instance, include func(Locality) bool) map[Locality][]Instance {
+	members := map[Locality][]Instance{}
 	for _, i := range instances {
-		if i.Locality() == locality && !i.Leaving() {
-			members = append(members, i)
+		if !i.Leaving() && include(i.Locality()) {
+			members[i.Locality()] = append(members[i.Locality()], i)
 		}
 	}
-	return topRanked(members)
+	return members
 }
 
 // topRanked returns the coordinators among the members of a zone: those with the most
