Find the relay of the zone by a stale read at the start; end late calls of a stop

Two causes, two changes.

Each instance read all keys from the store at its start (three to four pages at 1,080 workers and 471 instances) and wrote a lease and an entry: six calls an instance. When all 471 lose power, their reads saturate the store's link (some 540 KB each over 1 Gbit/s): reads exceed their timeout of 0.8 s, and half of the instances of a zone have their first list 2.5 s after the power is back. Ruled out: a slow start of the processes (they log their start 50 ms after the power is back). Change: an instance reads the entries of its zone once with AllowStale, which costs a tenth, asks the relay that they name for the keys, and never believes the stale read itself. The first instances of a zone (those with the most CPU) register themselves; the others are registered by the relay, up to 32 by one write and under one lease. Entries stand under their zone. A relay encodes its keys once for all readers and compresses them.

A call that arrived in the first 2.5 s of a stop and whose deadline was after the grace period was aborted without an answer (TestRequestsDuringAPlannedStop: EOF on, 502 now). Its deadline is now the end of the stop, and one that comes after callers have been routed elsewhere is run only if it can end. Requests on connections from before the port was closed were closed unread before, and still are.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -53,6 +53,9 @@
 	// shutdownMargin is the part of the grace period that is kept for closing
 	// everything other than calls.
 	shutdownMargin = 500 * time.Millisecond
+	// answerMargin is how long before the calls in flight are aborted a worker has to end
+	// a call that arrives during a planned stop: its answer is still on its way then.
+	answerMargin = 100 * time.Millisecond
 	// bufferedResponseBytes is the longest response body that is read completely
 	// before it is forwarded.
 	bufferedResponseBytes = 64 << 10
@@ -96,6 +99,7 @@
 	selector     *relayer.Selector
 	relay        *relayer.Relay
 	registration *registrant.Registrant
+	delegate     *registrant.Delegate
 	fetcher      *fetcher.Fetcher
 	peerClient   *relayer.ConfigurationClient
 	applying     sync.Mutex // Serializes configurations of the follower and the fetcher.
@@ -156,20 +160,24 @@
 	p.directory = adapter.NewDirectory(p.settings, p.log)
 	p.store, p.closeStore = adapter.NewStore(p.settings.Store(), p.settings.MaxChangeDelay())
 	var err error
-	p.registration, err = registrant.New(p.store, adapter.InstancePrefix, p.self(), p.log)
+	revision := func() storer.Revision { return p.follower.Revision() }
+	p.selector = relayer.NewSelector(p.self(), revision, func() []registrar.Instance { return p.gossiper.LiveCoordinators() })
+	zonePrefix := adapter.ZonePrefix(p.settings.Locality().Zone())
+	p.registration, err = registrant.New(p.store, zonePrefix, p.self(), p.log, registrant.WithEnrolment(p.selector.Enroll))
 	if err != nil {
 		return err
 	}
-	revision := func() storer.Revision { return p.follower.Revision() }
-	p.selector = relayer.NewSelector(p.self(), revision, func() []registrar.Instance { return p.gossiper.LiveCoordinators() })
-	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log)
+	p.delegate = registrant.NewDelegate(p.store, zonePrefix, p.log)
+	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log, relayer.WithEnrolment(p.delegate.Enroll))
 	if err != nil {
 		return err
 	}
 	catchUpTimeout := time.Duration(relayTimeoutRatio * float64(p.settings.MaxChangeDelay()))
 	relays := follower.NewRelays(p.selector.UsesRelays, p.selector.Next, p.selector.ReportFailure, catchUpTimeout).
 		WithFallback(p.selector.NextFallback)
-	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck))
+	d := &discovery{self: p.self(), selector: p.selector, register: p.registration.Register}
+	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck),
+		follower.WithDiscovery(follower.NewDiscovery(zonePrefix, d.firstSource)))
 	p.peerClient = relayer.NewConfigurationClient()
 	p.fetcher = fetcher.New(fetcher.NewHooks(p.activeVersion, p.peerClient.Fetch, p.applyFetched), catchUpTimeout, p.log)
 	p.gossiper, err = gossiper.New(p.self(), p.publisher,
@@ -204,7 +212,7 @@
 		parser.WithDrainTimeout(p.settings.GracePeriod()-drainDelay-shutdownMargin))
 	p.handler = listener.NewHandler(p.dispatcher, p.publisher, p.sender, p.asserter, limits, listener.WithDialect(adapter.Dialect()))
 	var err error
-	if p.listener, err = listener.New(p.settings.Callers(), p.handler, limits); err != nil {
+	if p.listener, err = listener.New(p.settings.Callers(), p.handler, limits, listener.WithInFlight(p.dispatcher.InFlight)); err != nil {
 		return err
 	}
 	socket, err := net.Listen("tcp", p.settings.Ready())
@@ -264,6 +272,8 @@
 	var err error
 	if p.listener != nil {
 		p.handler.Drain()
+		now := time.Now()
+		p.dispatcher.Stop(now.Add(drainDelay), now.Add(p.settings.GracePeriod()-shutdownMargin-answerMargin))
 		time.Sleep(drainDelay)
 		err = p.listener.Close()
 	}
@@ -277,8 +287,8 @@
 	if p.relay != nil {
 		p.relay.Close()
 	}
-	if p.selector != nil {
-		p.selector.Close()
+	if p.delegate != nil {
+		p.delegate.Close()
 	}
 	if a := p.scheduler.Load(); a != nil {
 		a.Close()
@@ -289,6 +299,9 @@
 	if p.registration != nil {
 		p.registration.Close()
 	}
+	if p.selector != nil {
+		p.selector.Close()
+	}
 	p.dispatcher.Close()
 	p.sender.Close()
 	if p.readiness != nil {
--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -25,6 +25,7 @@
 type environment struct {
 	c        *qt.C
 	store    *imitator.Store
+	settings adapter.Settings
 	instance *bootstrapper.Process
 	callers  string
 	ready    string
@@ -67,6 +68,13 @@
 
 // startInstance starts an instance that reaches the store at an address.
 func startInstance(c *qt.C, store *imitator.Store, name, zone, storeAddress string) *environment {
+	e := newInstance(c, store, name, zone, storeAddress)
+	e.start()
+	return e
+}
+
+// newInstance returns an instance that has not been started.
+func newInstance(c *qt.C, store *imitator.Store, name, zone, storeAddress string) *environment {
 	e := &environment{c: c, store: store, callers: freePort(c), ready: freePort(c)}
 	port := freePair(c)
 	settings, err := adapter.ParseSettings(fmt.Appendf(nil, `NodeName=%s
@@ -78,15 +86,21 @@
 Listen.Front=%s
 Listen.Ready=%s
 InternalPorts=%d,%d
+Limits.CpuShare=0.32
 Bounds=DrainMs=600,ConfigApplyMs=600,GraceS=6
 Platform.Address=%s
 `, name, zone, e.callers, e.ready, port, port+1, storeAddress))
 	c.Assert(err, qt.IsNil)
-	e.instance, err = bootstrapper.New(settings, io.Discard)
-	c.Assert(err, qt.IsNil)
+	e.settings = settings
 	return e
 }
 
+func (e *environment) start() {
+	var err error
+	e.instance, err = bootstrapper.New(e.settings, io.Discard)
+	e.c.Check(err, qt.IsNil)
+}
+
 // startWorker starts a fake worker that responds to health checks and calls. It
 // returns a function that formats the worker's store entry for a state.
 func (e *environment) startWorker(id string, requests *atomic.Int64) func(state string) string {
--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -14,7 +14,7 @@
 // the store.
 func (p *Process) applyKeys(usable []storer.Pair, stored storer.RangeResult) {
 	list, changed := p.directory.Parse(usable, stored.Revision())
-	p.registration.Observe(stored.Pairs())
+	p.registration.Observe(stored)
 	p.updateRelay(list, stored)
 	if changed != nil {
 		p.applyConfiguration(*changed, configurationValue(usable), p.follower.Source())
--- a/classifier/request.go
+++ b/classifier/request.go
@@ -85,6 +85,15 @@
 // Deadline returns the time after which a response is of no use to the caller.
 func (c *Call) Deadline() time.Time { return c.deadline }
 
+// EndingBy returns the call with a deadline that is not after the given time.
+func (c *Call) EndingBy(end time.Time) Call {
+	earlier := *c
+	if earlier.deadline.After(end) {
+		earlier.deadline = end
+	}
+	return earlier
+}
+
 // MayRepeat reports whether the call may run more than once.
 func (c *Call) MayRepeat() bool {
 	switch c.class.CallSemantics().(type) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 	metrics      *callMetrics
 	hedging      bool
 	inFlight     atomic.Int64
+	stop         atomic.Pointer[stopPlan] // Of a planned stop in progress, or nil.
 	activeHedges sync.WaitGroup
 }
 
@@ -68,6 +69,9 @@
 		return Unmatched{}
 	}
 	call := matched.Call()
+	if !d.stop.Load().admits(&call) {
+		return d.rejectLate(&call)
+	}
 	serviceState := snapshot.ServiceState(call.Service().Name())
 	serviceState.Budget().Deposit()
 	d.inFlight.Add(1)
--- /dev/null
+++ b/follower/discovery_test.go
@@ -0,0 +1,114 @@
+package follower_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocklane/follower"
+	"burdocklane/storer"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+// discoveryFleet is a fake store and a fake relay of an instance that starts.
+type discoveryFleet struct {
+	staleErr     error
+	listedAfter  time.Duration // When the stale read lists the relay.
+	servesAfter  time.Duration // When the relay serves.
+	started      time.Time
+	storeReads   atomic.Int64
+	staleReads   atomic.Int64
+	relayedReads atomic.Int64
+}
+
+var errNotYet = errors.New("not yet")
+
+func (d *discoveryFleet) waited() time.Duration { return time.Since(d.started) }
+
+func waitForEnd(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+	<-ctx.Done()
+	return storer.Batch{}, ctx.Err()
+}
+
+func (d *discoveryFleet) store() *storer.Remote {
+	return storer.NewRemote(
+		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+			d.storeReads.Add(1)
+			return storer.NewRangeResult([]storer.Pair{pair("a", "store", 9)}, revision(9)), nil
+		}),
+		storer.WithStaleRange(func(context.Context, string) (storer.RangeResult, error) {
+			d.staleReads.Add(1)
+			if d.staleErr != nil || d.waited() < d.listedAfter {
+				return storer.RangeResult{}, d.staleErr
+			}
+			return storer.NewRangeResult([]storer.Pair{pair("relay", "stale", 1)}, revision(1)), nil
+		}),
+		storer.WithPoll(waitForEnd, time.Millisecond))
+}
+
+func (d *discoveryFleet) relay() *storer.Remote {
+	return storer.NewRemote(
+		storer.WithName("relay"),
+		storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+			if d.waited() < d.servesAfter {
+				return storer.RangeResult{}, errNotYet
+			}
+			d.relayedReads.Add(1)
+			return storer.NewRangeResult([]storer.Pair{pair("a", "relay", 9)}, revision(9)), nil
+		}),
+		storer.WithPoll(waitForEnd, time.Millisecond))
+}
+
+// Pattern: many instances start together. Each that reads the store itself makes the
+// store slower for all, and each that believes a stale read brings back what was
+// withdrawn.
+func TestFirstSourceOfAnInstance(t *testing.T) {
+	const never = time.Hour
+	tests := []struct {
+		name       string
+		fleet      *discoveryFleet
+		none       follower.FirstSource // The decision while no relay is listed.
+		want       string               // The value of the key that is published.
+		within     time.Duration
+		staleReads int64 // At most.
+	}{
+		{"a relay is listed and serves", &discoveryFleet{}, follower.NewNotYet(time.Second), "relay", 0, 1},
+		{"a relay is listed later", &discoveryFleet{listedAfter: 600 * time.Millisecond}, follower.NewNotYet(time.Second), "relay", time.Second, 5},
+		{"a relay is starting too", &discoveryFleet{servesAfter: 500 * time.Millisecond}, follower.NewNotYet(time.Second), "relay", time.Second, 1},
+		{"the relay that is listed never serves", &discoveryFleet{servesAfter: never}, follower.NewNotYet(time.Second), "store", 3 * time.Second, 1},
+		{"no relay is ever listed", &discoveryFleet{listedAfter: never}, follower.NewNotYet(time.Second), "store", 3 * time.Second, 12},
+		{"this instance is the first", &discoveryFleet{listedAfter: never}, follower.FromStore{}, "store", 0, 1},
+		{"the stale read fails", &discoveryFleet{staleErr: errNotYet}, follower.NewNotYet(time.Second), "store", 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := test.fleet
+				d.started = time.Now()
+				choose := func(listed []storer.Pair, _ time.Duration) follower.FirstSource {
+					if len(listed) > 0 {
+						return follower.NewFromRelays(d.relay())
+					}
+					return test.none
+				}
+				published := make(chan string, 8)
+				f := follower.New(d.store(), "", func(usable []storer.Pair, _ storer.RangeResult) { published <- string(usable[0].Value()) }, zerolog.Nop(),
+					follower.WithDiscovery(follower.NewDiscovery("relay", choose)))
+				f.Start()
+				defer f.Close()
+				c.Assert(<-published, qt.Equals, test.want)
+				c.Assert(d.waited() <= test.within, qt.IsTrue, qt.Commentf("after %s", d.waited()))
+				c.Assert(d.staleReads.Load() <= test.staleReads, qt.IsTrue, qt.Commentf("%d stale reads", d.staleReads.Load()))
+				if test.want == "relay" {
+					c.Assert(d.storeReads.Load(), qt.Equals, int64(0))
+				}
+			})
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -50,6 +50,7 @@
 	prefix        string
 	onChange      func(usable []storer.Pair, stored storer.RangeResult)
 	relays        Relays
+	discovery     Discovery
 	onLost        func()
 	log           zerolog.Logger
 	lastContact   atomic.Int64
@@ -158,6 +159,7 @@
 }
 
 func (f *Follower) run(ctx context.Context) {
+	f.discover(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		lastContact := f.lastContact.Load()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -20,10 +20,18 @@
 	socket       net.Listener
 	serving      sync.WaitGroup
 	drainTimeout time.Duration
+	inFlight     func() int64
 }
 
+// Option sets one property of a Listener.
+type Option func(*Listener)
+
+// WithInFlight sets the function that returns the number of calls in flight. By default
+// a connection that is still open when the drain timeout has passed counts as one.
+func WithInFlight(inFlight func() int64) Option { return func(l *Listener) { l.inFlight = inFlight } }
+
 // New binds the address and starts to serve callers with the handler.
-func New(address string, handler http.Handler, limits parser.Limits) (*Listener, error) {
+func New(address string, handler http.Handler, limits parser.Limits, opts ...Option) (*Listener, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -34,6 +42,7 @@
 	l := &Listener{
 		socket:       socket,
 		drainTimeout: limits.DrainTimeout(),
+		inFlight:     func() int64 { return 1 },
 		server: &http.Server{
 			Handler:           handler,
 			Protocols:         protocols,
@@ -42,6 +51,9 @@
 			MaxHeaderBytes:    limits.MaxHeaderBytes(),
 		},
 	}
+	for _, opt := range opts {
+		opt(l)
+	}
 	l.serving.Go(func() {
 		l.server.Serve(netutil.LimitListener(socket, limits.MaxConnections())) //nolint:errcheck // Always ErrServerClosed.
 	})
@@ -57,11 +69,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), l.drainTimeout)
 	defer cancel()
 	err := l.server.Shutdown(ctx)
+	aborted := err != nil && l.inFlight() > 0
 	if err != nil {
 		l.server.Close()
 	}
 	l.serving.Wait()
-	if err != nil {
+	if aborted {
 		return errors.Wrap(err, "drain callers' connections")
 	}
 	return nil
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -29,6 +29,8 @@
 	retryDelay    = 2 * time.Second
 	// maxRewriteDelay spreads the writes of instances whose entries are all missing.
 	maxRewriteDelay = 500 * time.Millisecond
+	// enrolmentTimeout is how long a peer may take to write the entry.
+	enrolmentTimeout = 1500 * time.Millisecond
 	// maxCPUs is more than a machine has. An entry beyond it would make its instance
 	// the first coordinator of its zone.
 	maxCPUs = 1 << 16
@@ -90,6 +92,8 @@
 // written again with a new one.
 type Registrant struct {
 	store   storer.Store
+	enroll  func(ctx context.Context, key string, value []byte) (storer.Revision, error)
+	written storer.RevisionMark // The store's revision after the last write of the entry.
 	key     string
 	value   []byte
 	log     zerolog.Logger
@@ -99,8 +103,17 @@
 	done    sync.WaitGroup
 }
 
+// Option sets one property of a Registrant.
+type Option func(*Registrant)
+
+// WithEnrolment sets a function that lets a peer write the entry, together with those of
+// others. If it fails, the Registrant writes the entry itself.
+func WithEnrolment(enroll func(ctx context.Context, key string, value []byte) (storer.Revision, error)) Option {
+	return func(r *Registrant) { r.enroll = enroll }
+}
+
 // New starts to register the instance with an entry under the key prefix.
-func New(store storer.Store, prefix string, self registrar.Instance, log zerolog.Logger) (*Registrant, error) {
+func New(store storer.Store, prefix string, self registrar.Instance, log zerolog.Logger, opts ...Option) (*Registrant, error) {
 	value, err := json.Marshal(entry{
 		ID: string(self.ID()), Peers: self.PeerAddress(), SchedulerAddress: self.SchedulerAddress(), Power: self.CPUs(), Region: self.Locality().Region(), Zone: self.Locality().Zone(),
 	})
@@ -112,6 +125,9 @@
 		store: store, key: prefix + string(self.ID()), value: value, log: log,
 		missing: make(chan struct{}, 1), initial: make(chan bool, 1), cancel: cancel,
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
 	r.done.Go(func() { r.run(ctx) })
 	return r, nil
 }
@@ -125,11 +141,12 @@
 
 // Observe compares the entries in the store with the one of this instance. An
 // unchanged entry of an earlier start is not written again; a missing or changed
-// one is.
-func (r *Registrant) Observe(pairs []storer.Pair) {
-	present := slices.ContainsFunc(pairs, func(p storer.Pair) bool {
-		return p.Key() == r.key && bytes.Equal(p.Value(), r.value)
-	})
+// one is. A read from before the last write tells nothing.
+func (r *Registrant) Observe(stored storer.RangeResult) {
+	present := r.IsListed(stored.Pairs())
+	if !present && !stored.Revision().IsZero() && stored.Revision().Before(r.written.Load()) {
+		return
+	}
 	select {
 	case r.initial <- present:
 	default:
@@ -143,6 +160,22 @@
 	}
 }
 
+// IsListed reports whether the entries include the one of this instance.
+func (r *Registrant) IsListed(pairs []storer.Pair) bool {
+	return slices.ContainsFunc(pairs, func(p storer.Pair) bool {
+		return p.Key() == r.key && bytes.Equal(p.Value(), r.value)
+	})
+}
+
+// Register writes the entry without waiting for a read of the store, unless one was
+// observed already.
+func (r *Registrant) Register() {
+	select {
+	case r.initial <- false:
+	default:
+	}
+}
+
 func (r *Registrant) run(ctx context.Context) {
 	select {
 	case present := <-r.initial:
@@ -153,6 +186,11 @@
 		return
 	}
 	for ctx.Err() == nil {
+		if r.enrolWithPeer(ctx) {
+			for r.awaitRenewal(ctx) { // The peer renews the lease.
+			}
+			continue
+		}
 		lease, err := r.write(ctx)
 		if err != nil {
 			r.log.Warn().Err(err).Msg("could not write this instance's entry to the store; retrying")
@@ -163,19 +201,37 @@
 	}
 }
 
-func (r *Registrant) write(ctx context.Context) (storer.Lease, error) {
-	lease, err := storer.Grant(ctx, r.store, leaseTTL)
+// enrolWithPeer lets a peer write the entry, and reports whether it did.
+func (r *Registrant) enrolWithPeer(ctx context.Context) bool {
+	if r.enroll == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, enrolmentTimeout)
+	defer cancel()
+	revision, err := r.enroll(ctx, r.key, r.value)
 	if err != nil {
-		return storer.Lease{}, err
+		r.log.Info().Err(err).Msg("no peer has registered this instance; writing its entry to the store")
+		return false
 	}
-	var txn storer.Txn
-	txn.PutLeased(r.key, r.value, lease)
-	_, err = storer.Commit(ctx, r.store, txn)
+	r.recordWrite(revision)
+	r.log.Info().Stringer("store-revision", revision).Msg("a peer has registered this instance")
+	return true
+}
+
+func (r *Registrant) write(ctx context.Context) (storer.Lease, error) {
+	lease, revision, err := writeEntries(ctx, r.store, []enrolment{{key: r.key, value: r.value}})
+	r.recordWrite(revision)
+	return lease, err
+}
+
+// recordWrite records the store's revision after a write of the entry, and forgets that
+// it was missing before.
+func (r *Registrant) recordWrite(revision storer.Revision) {
+	r.written.Advance(revision)
 	select {
-	case <-r.missing: // The entry was reported missing before this write.
+	case <-r.missing:
 	default:
 	}
-	return lease, err
 }
 
 // renewLease renews the lease until it has expired or the entry is missing.
--- a/registrant/registrant_test.go
+++ b/registrant/registrant_test.go
@@ -86,7 +86,7 @@
 			start := func(self registrar.Instance) *registrant.Registrant {
 				r, err := registrant.New(store, "own/", self, zerolog.Nop())
 				c.Assert(err, qt.IsNil)
-				r.Observe(entries(store))
+				r.Observe(store.Range("own/"))
 				return r
 			}
 			first := start(self)
@@ -224,7 +224,7 @@
 				}
 				r, err := registrant.New(s.store(), "own/", registrar.NewInstance("i", "10.0.0.1:1", "", registrar.NewLocality("r", "z"), false), zerolog.Nop())
 				c.Assert(err, qt.IsNil)
-				r.Observe(nil)
+				r.Observe(storer.RangeResult{})
 				time.Sleep(time.Minute)
 				if test.later != nil {
 					s.mutex.Lock()
@@ -232,7 +232,7 @@
 					s.mutex.Unlock()
 				}
 				if test.missing {
-					r.Observe(nil)
+					r.Observe(storer.RangeResult{})
 				}
 				time.Sleep(test.wait)
 				r.Close()
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"net/url"
@@ -57,6 +56,7 @@
 	followsStore func() bool // Reports whether this instance follows the store itself and reaches it.
 	serving      atomic.Bool
 	keys         atomic.Pointer[snapshot]
+	enroll       Enroll                 // Or nil.
 	active       atomic.Pointer[[]byte] // The value of the configuration in force, or nil.
 	address      string
 	server       *http.Server
@@ -65,21 +65,28 @@
 	running      sync.WaitGroup
 }
 
+// Option sets one property of a Relay.
+type Option func(*Relay)
+
 // New returns a Relay that listens on the address. followsStore reports whether
 // this instance follows the store itself and reaches it: an instance that does not
 // rejects the requests.
-func New(address string, followsStore func() bool, log zerolog.Logger) (*Relay, error) {
+func New(address string, followsStore func() bool, log zerolog.Logger, opts ...Option) (*Relay, error) {
 	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relay requests")
 	}
 	r := &Relay{incarnation: uuid.NewString(), followsStore: followsStore, address: socket.Addr().String()}
+	for _, opt := range opts {
+		opt(r)
+	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	r.keys.Store(newSnapshot())
+	r.keys.Store(newSnapshot().withEncodings(r.incarnation))
 	router := mux.NewRouter()
 	router.HandleFunc(pathKeys, r.serveKeys).Methods(http.MethodGet)
 	router.HandleFunc(pathChanges, r.serveChanges).Methods(http.MethodGet)
 	router.HandleFunc(pathConfiguration, r.serveConfiguration).Methods(http.MethodGet)
+	router.HandleFunc(pathEnrolment, r.serveEnrolment).Methods(http.MethodPost)
 	r.server = &http.Server{Handler: router, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	r.running.Go(func() {
 		if err := r.server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
@@ -103,7 +110,7 @@
 // must not be called concurrently.
 func (r *Relay) Publish(result storer.RangeResult) {
 	old := r.keys.Load()
-	r.keys.Store(old.next(result))
+	r.keys.Store(old.next(result).withEncodings(r.incarnation))
 	r.serving.Store(true)
 	close(old.replaced)
 }
@@ -137,7 +144,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	respond(w, current.message(r.incarnation))
+	current.encodings.keys().write(w, request)
 }
 
 // parseMinRevision returns the revision that the client knows already. Its number is
@@ -164,14 +171,14 @@
 		return
 	}
 	current := r.waitFor(request.Context(), longPollTimeout, func(s *snapshot) bool { return s.cursor > cursor || !r.serves() })
-	changes, known := current.changesSince(cursor)
+	changes, known := current.encodedChanges(cursor)
 	switch {
 	case !r.serves():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case !known:
 		w.WriteHeader(http.StatusGone)
 	default:
-		respond(w, changes)
+		changes.write(w, request)
 	}
 }
 
@@ -196,9 +203,3 @@
 		}
 	}
 }
-
-func respond(w http.ResponseWriter, message any) {
-	relayedResponses.Inc()
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(message) //nolint:errcheck // The client fails to decode a truncated response.
-}
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -141,7 +141,7 @@
 			}
 			client := newClient()
 			defer client.CloseIdleConnections()
-			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() storer.Revision { return test.minRevision }), "")
+			result, err := storer.Range(context.Background(), newSource(client, r.Address(), func() storer.Revision { return test.minRevision }, func(string) {}), "")
 			c.Assert(err == nil, qt.Equals, test.serves)
 			if test.serves {
 				c.Assert(result.Revision(), qt.Equals, test.published)
@@ -162,7 +162,7 @@
 	r.Publish(storer.NewRangeResult(pairs(1, 2), revision(2)))
 	client := newClient()
 	defer client.CloseIdleConnections()
-	source := newSource(client, r.Address(), func() storer.Revision { return storer.Revision{} })
+	source := newSource(client, r.Address(), func() storer.Revision { return storer.Revision{} }, func(string) {})
 	result, err := storer.Range(context.Background(), source, "")
 	c.Assert(err, qt.IsNil)
 	batches := make(chan storer.Batch, 8)
--- a/relayer/selector.go
+++ b/relayer/selector.go
@@ -27,6 +27,7 @@
 	client        *http.Client
 	relays        atomic.Pointer[[]registrar.Instance] // Those that this instance may read from, in order of preference.
 	lastSelected  atomic.Pointer[selection]            // The relay that was returned last.
+	served        atomic.Pointer[string]               // Host:port of the relay whose keys were read last.
 	cooldowns     sync.Map                             // From an instance's ID to the time until which it is not selected.
 	live          func() []registrar.Instance          // The live coordinators.
 	instances     atomic.Pointer[[]registrar.Instance] // All instances.
@@ -65,6 +66,22 @@
 	return rank >= 0
 }
 
+// FirstRelays returns the relays to try at the start by a list of the zone's instances
+// that may be stale, and whether this instance is listed. Whether the relays are live is
+// not known yet.
+func (s *Selector) FirstRelays(listed []registrar.Instance) (relays []storer.Store, selfListed bool) {
+	isSelf := func(i registrar.Instance) bool { return i.ID() == s.self.ID() }
+	selfListed = slices.ContainsFunc(listed, isSelf)
+	ranked := registrar.CoordinatorsOfZone(append(slices.DeleteFunc(slices.Clone(listed), isSelf), s.self), s.self.Locality())
+	for _, relay := range ranked {
+		if isSelf(relay) {
+			break
+		}
+		relays = append(relays, newSource(s.client, relay.PeerAddress(), s.knownRevision, s.recordServed))
+	}
+	return relays, selfListed
+}
+
 // UsesRelays reports whether this instance is to read from relays.
 func (s *Selector) UsesRelays() bool { return len(*s.relays.Load()) > 0 }
 
@@ -94,9 +111,11 @@
 
 func (s *Selector) selectRelay(relay registrar.Instance, cooldown time.Duration) storer.Store {
 	s.lastSelected.Store(&selection{id: relay.ID(), cooldown: cooldown})
-	return newSource(s.client, relay.PeerAddress(), s.knownRevision)
+	return newSource(s.client, relay.PeerAddress(), s.knownRevision, s.recordServed)
 }
 
+func (s *Selector) recordServed(address string) { s.served.Store(&address) }
+
 // ReportFailure records that the relay or fallback which was returned last did not
 // serve: it is not selected for a while.
 func (s *Selector) ReportFailure() {
--- a/relayer/snapshot.go
+++ b/relayer/snapshot.go
@@ -19,6 +19,7 @@
 	removed         []removal
 	compactedCursor int64         // Changes up to this cursor are no longer available one by one.
 	replaced        chan struct{} // Closed when a later snapshot replaces this one.
+	encodings       *encodings    // Of the snapshots that a relay serves.
 }
 
 // versionedPair is a pair with the cursor at which it last changed.
@@ -79,11 +80,16 @@
 	}
 }
 
+// hasChangesSince reports whether the changes after the cursor are available one by one.
+func (s *snapshot) hasChangesSince(cursor int64) bool {
+	return cursor >= s.compactedCursor && cursor <= s.cursor
+}
+
 // changesSince returns the changes after the cursor, and false if they are no
 // longer available.
 func (s *snapshot) changesSince(cursor int64) (changesMessage, bool) {
 	m := changesMessage{Cursor: s.cursor, Era: s.revision.Era(), Revision: s.revision.Number()}
-	if cursor < s.compactedCursor || cursor > s.cursor {
+	if !s.hasChangesSince(cursor) {
 		return m, false
 	}
 	for _, n := range s.pairs {
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -18,6 +18,9 @@
 	// responseTimeout is how long a relay may take to respond beyond the time that it
 	// holds the request.
 	responseTimeout = 500 * time.Millisecond
+	// firstReadTimeout is how long a relay may take to deliver all keys to an instance
+	// that knows none yet.
+	firstReadTimeout = 1200 * time.Millisecond
 	// maxResponseBytes bounds a message with all keys.
 	maxResponseBytes = 16 << 20
 )
@@ -27,6 +30,7 @@
 	base          string
 	client        *http.Client
 	knownRevision func() storer.Revision
+	onServed      func() // Called after each read of all keys. May be nil.
 	maxBytes      int64  // Bounds a response.
 	incarnation   string // Of the relay. Used only by the follower's goroutine, as is the cursor.
 	cursor        int64
@@ -37,10 +41,13 @@
 }
 
 // newSource returns a store that reads from the relay at host:port. The relay is
-// asked for keys at knownRevision or later. The source must not be used
-// concurrently.
-func newSource(client *http.Client, address string, knownRevision func() storer.Revision) *storer.Remote {
-	s := &source{base: "http://" + address, client: client, knownRevision: knownRevision, maxBytes: maxResponseBytes}
+// asked for keys at knownRevision or later, and its address is passed to onServed when
+// it has delivered them. The source must not be used concurrently.
+func newSource(client *http.Client, address string, knownRevision func() storer.Revision, onServed func(address string)) *storer.Remote {
+	s := &source{
+		base: "http://" + address, client: client, knownRevision: knownRevision,
+		onServed: func() { onServed(address) }, maxBytes: maxResponseBytes,
+	}
 	return storer.NewRemote(storer.WithName("relay "+address), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
 }
 
@@ -51,10 +58,17 @@
 		queryMinEra:      {strconv.FormatInt(known.Era(), 10)},
 		queryMinRevision: {strconv.FormatInt(known.Number(), 10)},
 	}
-	if err := s.get(ctx, pathKeys, query, catchUpTimeout, &m); err != nil {
+	serverWait := catchUpTimeout
+	if known.IsZero() {
+		serverWait = firstReadTimeout - responseTimeout
+	}
+	if err := s.get(ctx, pathKeys, query, serverWait, &m); err != nil {
 		return storer.RangeResult{}, err
 	}
 	s.incarnation, s.cursor = m.Incarnation, m.Cursor
+	if s.onServed != nil {
+		s.onServed()
+	}
 	return m.rangeResult(), nil
 }
 
--- a/storer/remote.go
+++ b/storer/remote.go
@@ -12,6 +12,7 @@
 type Remote struct {
 	name       string
 	readRange  func(ctx context.Context, prefix string) (RangeResult, error)
+	readStale  func(ctx context.Context, prefix string) (RangeResult, error)
 	poll       func(ctx context.Context, prefix string, after Revision) (Batch, error)
 	batchDelay time.Duration
 	probe      func(ctx context.Context) (Revision, error)
@@ -32,6 +33,12 @@
 	return func(r *Remote) { r.readRange = read }
 }
 
+// WithStaleRange sets the function that reads the first keys with a prefix at a low
+// price. The result may be some seconds old and incomplete.
+func WithStaleRange(read func(ctx context.Context, prefix string) (RangeResult, error)) RemoteOption {
+	return func(r *Remote) { r.readStale = read }
+}
+
 // WithPoll sets the function that waits for the changes after a revision, by a long
 // poll: its batch is empty if there are none before its timeout. After each batch
 // of changes the watch pauses for batchDelay, so that changes that come shortly
--- a/storer/store.go
+++ b/storer/store.go
@@ -223,6 +223,21 @@
 	return RangeResult{}, errUnknownStoreType
 }
 
+// CanRangeStale reports whether RangeStale is available for the store.
+func CanRangeStale(s Store) bool {
+	remote, ok := s.(*Remote)
+	return ok && remote.readStale != nil
+}
+
+// RangeStale reads the first keys with the prefix at a low price. The result may be
+// some seconds old and lack keys, so that it only tells where to ask next.
+func RangeStale(ctx context.Context, s Store, prefix string) (RangeResult, error) {
+	if remote, ok := s.(*Remote); ok && remote.readStale != nil {
+		return remote.readStale(ctx, prefix)
+	}
+	return RangeResult{}, errUnknownStoreType
+}
+
 // Commit runs a transaction. After an error it is unknown whether the transaction
 // took effect, unless NotExecuted says that it has not.
 func Commit(ctx context.Context, s Store, t Txn) (TxnResult, error) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -38,6 +38,10 @@
 // that it is leaving, so that the platform's load balancer can remove it.
 const drainDelay = 500 * time.Millisecond
 
+// answerMargin is how long before the calls in flight are aborted a worker has to end a
+// call that arrives during a planned stop: its answer is still on its way then.
+const answerMargin = 100 * time.Millisecond
+
 // probesBuffer is the capacity of the channel for probe requests.
 const probesBuffer = 256
 
@@ -280,6 +284,8 @@
 	if s.listener == nil {
 		return nil
 	}
+	lateFrom := time.Now().Add(drainDelay)
+	s.dispatcher.Stop(lateFrom, lateFrom.Add(s.settings.Limits().DrainTimeout()-answerMargin))
 	time.Sleep(drainDelay)
 	return s.listener.Close()
 }
