Verify the chosen worker right before a call is sent there

Cause: a load report is 25 to 60 ms old when it decides, and a worker turns slow about twice a second (a quarter of the time by a factor of seven). Some 2 of 100 calls were sent to a worker that had just become slow.

Change: the sending instance checks the worker on the connection that then carries the call, unless the report is under 8 ms old, and passes it over if it is slow, ill, silent or another one; two workers a call at most, so that a health check that lies, or a service that is slow as a whole, costs a bounded time. The decision is in package verifier, without a clock of its own.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -32,6 +32,7 @@
 	"burdocklane/scheduler"
 	"burdocklane/sender"
 	"burdocklane/storer"
+	"burdocklane/verifier"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
@@ -90,6 +91,7 @@
 	publisher    *publisher.Publisher
 	dispatcher   *dispatcher.Dispatcher
 	sender       *sender.Sender
+	checker      *healthchecker.Checker
 	handler      *listener.Handler
 	listener     *listener.Listener
 	store        *storer.Remote
@@ -151,7 +153,8 @@
 		sender.WithIdleTimeout(upstreamIdleTimeout),
 		sender.WithResponseBuffer(bufferedResponseBytes),
 		sender.WithEchoHeader(adapter.HeaderRequestID))
-	p.dispatcher = dispatcher.New(p.publisher, p.recorder, p.asserter)
+	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad)
+	p.dispatcher = dispatcher.New(p.publisher, p.recorder, p.asserter, dispatcher.WithVerifier(verifier.New(p.checker)))
 }
 
 // buildChangePipeline creates the filters that a change of the configuration or
@@ -181,7 +184,7 @@
 	p.peerClient = relayer.NewConfigurationClient()
 	p.fetcher = fetcher.New(fetcher.NewHooks(p.activeVersion, p.peerClient.Fetch, p.applyFetched), catchUpTimeout, p.log)
 	p.gossiper, err = gossiper.New(p.self(), p.publisher,
-		healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad),
+		p.checker,
 		gossiper.NewRevisionHooks(p.follower.Revision, p.follower.NotifyRevision).WithConfiguration(p.activeVersion, p.fetcher.Observe), p.log)
 	if err != nil {
 		return err
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"burdocklane/registrar"
 	"burdocklane/retrier"
 	"burdocklane/sleeper"
+	"burdocklane/verifier"
 
 	"github.com/rs/zerolog"
 )
@@ -27,6 +29,7 @@
 	asserter     *asserter.Asserter
 	metrics      *callMetrics
 	hedging      bool
+	verifier     *verifier.Verifier // Or nil.
 	inFlight     atomic.Int64
 	stop         atomic.Pointer[stopPlan] // Of a planned stop in progress, or nil.
 	activeHedges sync.WaitGroup
@@ -94,6 +97,7 @@
 	history         retrier.History
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
+	rejectedWorkers []registrar.WorkerID // Chosen and then rejected by the verifier.
 }
 
 // attempt is one attempt at a worker. Its slot is released when the attempt is
@@ -118,6 +122,9 @@
 		if !ok {
 			return c.reject(admission.(limiter.Refused))
 		}
+		if !c.isVerified(granted) {
+			continue
+		}
 		last := c.attemptWithHedge(granted)
 		decision := retrier.Decide(c.call, c.history, last.result, c.serviceState.Budget(), time.Now())
 		switch s := decision.(type) {
@@ -137,7 +144,7 @@
 // tried before, so that the limiter avoids them.
 func (c *activeCall) admissionRequest() limiter.Request {
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
-		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(c.triedWorkers...)).
+		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.rejectedWorkers)...)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
--- /dev/null
+++ b/dispatcher/verify.go
@@ -0,0 +1,46 @@
+package dispatcher
+
+import (
+	"time"
+
+	"burdocklane/limiter"
+	"burdocklane/recorder"
+	"burdocklane/verifier"
+)
+
+// WithVerifier verifies each chosen worker right before a call is sent there, if the
+// workers report their load. The default is to send at once.
+func WithVerifier(v *verifier.Verifier) Option { return func(d *Dispatcher) { d.verifier = v } }
+
+// isVerified reports whether the call may be sent to the granted worker. If not, the slot
+// is released, and the next choice avoids the worker.
+func (c *activeCall) isVerified(granted limiter.Granted) bool {
+	worker, path := granted.Worker(), c.call.Service().HealthPath()
+	if _, reported := worker.Report(); c.dispatcher.verifier == nil || path == "" || !reported {
+		return true
+	}
+	pool := c.serviceState.Pool()
+	choice := verifier.NewChoice(worker.ReportAge(pool.Now()), worker.Distance(), len(c.rejectedWorkers), time.Until(c.targetDeadline()))
+	timeout, due := choice.Timeout()
+	if !due {
+		return true
+	}
+	verdict := c.dispatcher.verifier.Verify(c.ctx, pool, worker, path, timeout)
+	rejected, ok := verdict.(verifier.Rejected)
+	if !ok {
+		return true
+	}
+	c.rejectedWorkers = append(c.rejectedWorkers, worker.ID())
+	c.recordRejection(granted, rejected)
+	granted.Release()
+	return false
+}
+
+func (c *activeCall) recordRejection(granted limiter.Granted, rejected verifier.Rejected) {
+	c.dispatcher.recorder.Record(recorder.NewDecision(c.call.ID(), time.Now(), "pass-over", rejected.Reason(),
+		recorder.WithClass(c.call.Service().Name(), c.call.Class().Name()),
+		recorder.WithAttempt(c.attemptsStarted+1, granted.Worker().ID()),
+		recorder.WithCandidates(granted.CandidateSummary()),
+		recorder.WithTarget(c.call.Class().Target().Latency()),
+		recorder.WithTimes(granted.Waited(), time.Since(c.call.Arrival()))))
+}
--- /dev/null
+++ b/verifier/verifier.go
@@ -0,0 +1,137 @@
+// Package verifier checks the worker that was chosen for a call right before the call is
+// sent. Load reports are some tens of milliseconds old when they decide, and a worker may
+// have become slow or unreachable since; a call that may run only once cannot be taken
+// back from it.
+package verifier
+
+import (
+	"context"
+	"time"
+
+	"burdocklane/healthchecker"
+	"burdocklane/limiter"
+	"burdocklane/picker"
+	"burdocklane/tracker"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// maxReportAge is the age up to which a load report needs no verification.
+	maxReportAge = 8 * time.Millisecond
+	// MaxRejections is the number of workers that a call rejects at most. Each costs the
+	// call a round trip, and workers may all be slow.
+	MaxRejections = 2
+	// timeShare is the share of the time until the target that a verification may take,
+	// between minTimeout and maxTimeout.
+	timeShare  = 0.1
+	minTimeout = 20 * time.Millisecond
+	maxTimeout = 100 * time.Millisecond
+	// maxDistance is the distance of the workers that are verified: those of the region.
+	maxDistance = 1
+)
+
+var (
+	confirmedTotal = metrics.NewCounter(`burdocklane_verifications_total{verdict="confirmed"}`)
+	rejectedTotal  = metrics.NewCounter(`burdocklane_verifications_total{verdict="rejected"}`)
+)
+
+// Verdict says whether the call may be sent to the worker: Confirmed or Rejected.
+type Verdict interface{ verdict() }
+
+// Confirmed is the verdict for a worker that still is as the decision expected.
+type Confirmed struct{}
+
+// Rejected is the verdict for a worker to which the call should not be sent.
+type Rejected struct{ reason string }
+
+func (Confirmed) verdict() {}
+func (Rejected) verdict()  {}
+
+// Reason returns why the worker was rejected, for logs.
+func (r Rejected) Reason() string { return r.reason }
+
+// Choice is the worker that was chosen for a call, as far as it decides whether to verify
+// the worker.
+type Choice struct {
+	reportAge   time.Duration
+	distance    int
+	rejections  int
+	untilTarget time.Duration
+}
+
+// NewChoice returns a choice of a worker at a distance, by a report of the given age, for
+// a call that has rejected a number of workers before.
+func NewChoice(reportAge time.Duration, distance, rejections int, untilTarget time.Duration) Choice {
+	return Choice{reportAge: reportAge, distance: distance, rejections: rejections, untilTarget: untilTarget}
+}
+
+// Timeout returns how long the verification may take, and false if none is due.
+func (c Choice) Timeout() (time.Duration, bool) {
+	if c.reportAge <= maxReportAge || c.distance > maxDistance || c.rejections >= MaxRejections || c.untilTarget <= minTimeout {
+		return 0, false
+	}
+	timeout := time.Duration(timeShare * float64(c.untilTarget))
+	return min(max(timeout, minTimeout), maxTimeout), true
+}
+
+// Judge returns the verdict for a worker by its health check. A health check may lie, so
+// that it is never the reason to send a call nowhere: see MaxRejections.
+func Judge(health healthchecker.Health) Verdict {
+	switch h := health.(type) {
+	case healthchecker.Healthy:
+		load, ok := h.Load().Load()
+		if ok && load.Report(0).Slowdown() >= picker.SlowdownThreshold {
+			return Rejected{reason: "slow"}
+		}
+		return Confirmed{}
+	case healthchecker.Unhealthy:
+		return Rejected{reason: "unhealthy"}
+	case healthchecker.WrongWorker:
+		return Rejected{reason: "other-worker"}
+	case healthchecker.Unreachable:
+		return Rejected{reason: "unreachable"}
+	}
+	return Confirmed{}
+}
+
+// Verifier verifies workers by health checks.
+type Verifier struct{ checker *healthchecker.Checker }
+
+// New returns a Verifier that sends its health checks by c. The call is sent on the
+// connection of its check if that comes from the same pool.
+func New(c *healthchecker.Checker) *Verifier { return &Verifier{checker: c} }
+
+// Verify checks the worker of a service, whose health checks have the given path, and
+// records what it reports.
+func (v *Verifier) Verify(ctx context.Context, pool *limiter.Pool, worker *tracker.Worker, path string, timeout time.Duration) Verdict {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	health := v.checker.Check(ctx, worker.Member(), path)
+	record(pool, worker, health)
+	verdict := Judge(health)
+	switch verdict.(type) {
+	case Confirmed:
+		confirmedTotal.Inc()
+	case Rejected:
+		rejectedTotal.Inc()
+	}
+	return verdict
+}
+
+// record passes the result of a check on to the pool. A check that got no answer in its
+// short time does not show that the worker is down.
+func record(pool *limiter.Pool, worker *tracker.Worker, health healthchecker.Health) {
+	var reading healthchecker.LoadReading
+	switch h := health.(type) {
+	case healthchecker.Healthy:
+		reading = h.Load()
+	case healthchecker.Unhealthy:
+		reading = h.Load()
+	case healthchecker.WrongWorker:
+		pool.MarkLeaving(worker)
+	}
+	if load, ok := reading.Load(); ok {
+		pool.RecordReport(worker, load.Report(pool.Now()))
+	}
+}
