Check workers as often as the targets of their service ask for

Change: a worker's load is refreshed within a twentieth of the shortest target of its service, from 50 ms (as before) to 150 ms. What a report misses meanwhile, the check right before a call finds.

--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -83,6 +83,7 @@
 Region=r
 Zones.z=r
 Zones.y=r
+Zones.far=q
 Listen.Front=%s
 Listen.Ready=%s
 InternalPorts=%d,%d
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -22,12 +22,19 @@
 )
 
 const (
-	// refreshInterval is the target interval between load reports of a worker.
+	// refreshInterval is the shortest target interval between load reports of a worker.
 	refreshInterval = 50 * time.Millisecond
+	// maxRefreshInterval is the longest one. A worker's load changes within some hundred
+	// milliseconds.
+	maxRefreshInterval = 3 * refreshInterval
+	// refreshTargetShare is the interval as a share of the shortest target of the
+	// worker's service: what counts is how much of the target a wrong choice costs.
+	refreshTargetShare = 0.05
 	// tickInterval is how often updates are sent and due checks are started.
 	tickInterval = refreshInterval / 2
-	// recheckAge is the age of a report from which its worker is due for a check.
-	recheckAge = refreshInterval - tickInterval/2
+	// recheckMargin is how long before the end of its refresh interval a worker is due
+	// for a check.
+	recheckMargin = tickInterval / 2
 	// heartbeatInterval is how often every coordinator gets a datagram, even if there
 	// are no updates for it.
 	heartbeatInterval = 2 * refreshInterval
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -1,8 +1,11 @@
 package gossiper
 
 import (
+	"math"
 	"sync/atomic"
+	"time"
 
+	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/tracker"
@@ -15,6 +18,19 @@
 	path   string
 	hash   uint32
 	state  *state
+	// refresh is the target interval between load reports.
+	refresh time.Duration
+}
+
+// refreshIntervalOf returns the target interval between load reports of the workers of a
+// service.
+func refreshIntervalOf(service descriptor.Service) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, class := range service.Classes() {
+		shortest = min(shortest, class.Target().Latency())
+	}
+	interval := time.Duration(refreshTargetShare * float64(shortest))
+	return min(max(interval, refreshInterval), maxRefreshInterval)
 }
 
 // state is kept across changes of the snapshot.
@@ -30,7 +46,7 @@
 // is not about to stop, and its address has not gone to another worker.
 func (t *target) checkDue() bool {
 	now := t.pool.Now()
-	return t.path != "" && t.worker.ReportAge(now) >= recheckAge && t.worker.LeavingFor(now) == 0
+	return t.path != "" && t.worker.ReportAge(now) >= t.refresh-recheckMargin && t.worker.LeavingFor(now) == 0
 }
 
 // takeUpdate returns what this instance itself has observed of the worker since the
--- a/gossiper/target_test.go
+++ b/gossiper/target_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/registrar"
@@ -38,9 +39,34 @@
 			here := registrar.NewLocality("r", "z")
 			pool := limiter.New("s", registrar.NewInstance("i", "", "", here, false), limiter.WithPolicy(picker.ReportedLoad{}))
 			pool.Update([]registrar.Worker{registrar.NewWorker("w", "s", "10.0.0.1:1", here, 3, false)}, nil)
-			x := &target{worker: pool.Workers()[0], pool: pool, path: test.path, state: &state{}}
+			x := &target{worker: pool.Workers()[0], pool: pool, path: test.path, state: &state{}, refresh: refreshInterval}
 			test.do(x)
 			qt.Assert(t, x.checkDue(), qt.Equals, test.want)
 		})
 	}
 }
+
+// Pattern: hundreds of workers with long calls. Guards against checks that cost more than
+// they save there, and against old reports where targets are short.
+func TestRefreshInterval(t *testing.T) {
+	tests := []struct {
+		name    string
+		targets []time.Duration
+		want    time.Duration
+	}{
+		{"short", []time.Duration{200 * time.Millisecond}, 50 * time.Millisecond},
+		{"long", []time.Duration{2 * time.Second}, 100 * time.Millisecond},
+		{"very long", []time.Duration{time.Minute}, 150 * time.Millisecond},
+		{"the shortest decides", []time.Duration{time.Minute, 1200 * time.Millisecond}, 60 * time.Millisecond},
+		{"no class", nil, 150 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var classes []descriptor.Class
+			for _, target := range test.targets {
+				classes = append(classes, descriptor.NewClass("c", descriptor.WithTarget(descriptor.NewTarget(target, 0.9))))
+			}
+			qt.Assert(t, refreshIntervalOf(descriptor.NewService("s", classes, nil)), qt.Equals, test.want)
+		})
+	}
+}
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -35,11 +35,12 @@
 		if serviceState == nil {
 			continue
 		}
+		refresh := refreshIntervalOf(service)
 		for _, w := range serviceState.Pool().Workers() {
 			if w.Distance() > maxLocalDistance || w.Member().Leaving() {
 				continue
 			}
-			t := &target{worker: w, pool: serviceState.Pool(), path: service.HealthPath(), hash: registrar.Hash(string(w.ID()) + "@" + w.Address()), state: &state{}}
+			t := &target{worker: w, pool: serviceState.Pool(), path: service.HealthPath(), hash: registrar.Hash(string(w.ID()) + "@" + w.Address()), state: &state{}, refresh: refresh}
 			if before := old.byHash[t.hash]; before != nil {
 				t.state = before.state
 			}
