Take check intervals from routes, and let lying health checks reject no call

Causes: (1) the interval between checks was taken from the classes that a service declares; on the platform, routes hold them, so that every service was checked each 150 ms. (2) A call could be rejected because the workers that it had passed over were the only ones.

Change: the shortest target of a service is that of its classes and of the routes to it. A worker known to be unhealthy is not passed over for that; a call that no other worker takes is admitted again with those it passed over.

explain names a worker that was passed over, and a stop as a cause.

--- a/descriptor/deployment.go
+++ b/descriptor/deployment.go
@@ -105,6 +105,28 @@
 // Routes returns the routes. The caller must not modify the slice.
 func (d Deployment) Routes() []Route { return d.routes }
 
+// ShortestTargets returns the shortest target latency of the classes and routes of each
+// service.
+func (d Deployment) ShortestTargets() map[ServiceName]time.Duration {
+	shortest := map[ServiceName]time.Duration{}
+	add := func(name ServiceName, class Class) {
+		if known, ok := shortest[name]; !ok || class.Target().Latency() < known {
+			shortest[name] = class.Target().Latency()
+		}
+	}
+	for _, service := range d.services {
+		for _, class := range service.classes {
+			add(service.name, class)
+		}
+	}
+	for _, route := range d.routes {
+		for _, part := range route.weightedServices {
+			add(part.Service(), route.class)
+		}
+	}
+	return shortest
+}
+
 // RequestLimits returns the limits on callers' requests.
 func (d Deployment) RequestLimits() RequestLimits { return d.requestLimits }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,7 +97,8 @@
 	history         retrier.History
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
-	rejectedWorkers []registrar.WorkerID // Chosen and then rejected by the verifier.
+	rejections      int                  // By the verifier.
+	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
 }
 
 // attempt is one attempt at a worker. Its slot is released when the attempt is
@@ -119,6 +120,9 @@
 	for {
 		admission := c.serviceState.Pool().Acquire(c.ctx, c.admissionRequest())
 		granted, ok := admission.(limiter.Granted)
+		if !ok && c.readmitRejected() {
+			continue
+		}
 		if !ok {
 			return c.reject(admission.(limiter.Refused))
 		}
--- /dev/null
+++ b/dispatcher/verify_test.go
@@ -0,0 +1,103 @@
+package dispatcher_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"burdocklane/asserter"
+	"burdocklane/classifier"
+	"burdocklane/descriptor"
+	"burdocklane/dispatcher"
+	"burdocklane/healthchecker"
+	"burdocklane/limiter"
+	"burdocklane/picker"
+	"burdocklane/publisher"
+	"burdocklane/recorder"
+	"burdocklane/registrar"
+	"burdocklane/retrier"
+	"burdocklane/sender"
+	"burdocklane/tracker"
+	"burdocklane/verifier"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// startReporting starts a worker whose health check reports a status and a load.
+func startReporting(c *qt.C, id, load string, status int) registrar.Worker {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ID", id)
+		w.Header().Set("Load", load)
+		w.WriteHeader(status)
+	}))
+	c.Cleanup(server.Close)
+	locality := registrar.NewLocality("r", "z")
+	return registrar.NewWorker(registrar.WorkerID(id), "s", strings.TrimPrefix(server.URL, "http://"), locality, 6, false)
+}
+
+// Pattern: at-most-once calls while workers turn slow between two of their reports.
+// Guards against a call that is sent to a worker known to be slow by then, and against
+// one that is rejected, or passed on for ever, because all health checks speak against it.
+func TestCallsAreSentToVerifiedWorkers(t *testing.T) {
+	type reported struct {
+		id, load string
+		status   int
+	}
+	tests := []struct {
+		name    string
+		workers []reported
+		want    string // The worker that gets the call, or "any".
+	}{
+		{"all calm", []reported{{"a", "0,0,6,100", 200}, {"b", "0,0,6,100", 200}}, "any"},
+		{"one has become slow", []reported{{"a", "0,0,6,100", 200}, {"b", "0,0,6,700", 200}}, "a"},
+		{"one has become ill", []reported{{"a", "0,0,6,100", 503}, {"b", "0,0,6,100", 200}}, "b"},
+		{"two of three have become slow", []reported{{"a", "0,0,6,700", 200}, {"b", "0,0,6,700", 200}, {"c", "0,0,6,100", 200}}, "c"},
+		{"all health checks fail", []reported{{"a", "0,0,6,100", 503}, {"b", "0,0,6,100", 503}}, "any"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := publisher.New(registrar.NewInstance("i", "", "", registrar.NewLocality("r", "z"), false),
+				publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})))
+			class := descriptor.NewClass("c", descriptor.WithPaths("/a"), descriptor.WithCallSemantics(descriptor.AtMostOnce{}),
+				descriptor.WithTarget(descriptor.NewTarget(2*time.Second, 0.9)), descriptor.WithDeadline(9*time.Second))
+			service := descriptor.NewService("s", []descriptor.Class{class}, nil).WithHealthPath("/health")
+			d := descriptor.NewDeployment("d", descriptor.NewMeasurementBudget(0, 0.1), []descriptor.Service{service})
+			c.Assert(p.PublishDeployment(d.WithRevision(1, descriptor.Change{}), "test"), qt.IsNil)
+			var members []registrar.Worker
+			for _, w := range test.workers {
+				members = append(members, startReporting(c, w.id, w.load, w.status))
+			}
+			p.PublishList(registrar.NewList(1, members, nil))
+			pool := p.Current().ServiceState("s").Pool()
+			for _, w := range pool.Workers() {
+				pool.RecordReport(w, tracker.NewReport(0, 0, 6, 1, pool.Now()-time.Hour))
+			}
+			s, r := sender.New(), recorder.New(zerolog.Nop())
+			defer s.Close()
+			defer r.Close()
+			x := dispatcher.New(p, r, asserter.New(zerolog.Nop()), dispatcher.WithVerifier(verifier.New(healthchecker.New(s, "ID", "Load"))))
+			defer x.Close()
+			var got []string
+			result := x.Dispatch(context.Background(), classifier.NewRequest("id", "GET", "/a"), true,
+				func(_ context.Context, _ int, _ *classifier.Call, w registrar.Worker) retrier.Result {
+					got = append(got, string(w.ID()))
+					return retrier.NewAnswered(200)
+				})
+			answered, ok := result.(dispatcher.Answered)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%T", result))
+			answered.Finish(true)
+			c.Assert(got, qt.HasLen, 1)
+			if test.want != "any" {
+				c.Assert(got[0], qt.Equals, test.want)
+			}
+			for _, w := range pool.Workers() {
+				c.Assert(w.InFlight(), qt.Equals, int32(0))
+			}
+		})
+	}
+}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -78,6 +78,19 @@
 			[]recorder.Decision{send, decision("x", 90, "unknown", "attempt-lost", recorder.WithAttempt(1, "w1"), recorder.WithError(errors.New("EOF")), took(90))},
 			"outcome unknown, may have run: attempt 1 at worker w1 ended after 90.0 ms: EOF",
 		},
+		{
+			"a worker that had become slow, and another slow one",
+			[]recorder.Decision{
+				decision("x", 0, "pass-over", "slow", recorder.WithAttempt(1, "w0"), target), send,
+				decision("x", 300, "pass", "answered", recorder.WithAttempt(1, "w1"), target, took(300)),
+			},
+			"; worker w0 was passed over (slow)",
+		},
+		{
+			"a planned stop",
+			[]recorder.Decision{decision("x", 5, "refuse", "instance-stops", target)},
+			"rejected, not run: the instance was stopping",
+		},
 		{"interrupted response", []recorder.Decision{send, decision("x", 9, "broken", "transfer-broken")}, "the response was interrupted"},
 		{"no final line", []recorder.Decision{send}, "no log line records how the call ended"},
 	}
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -98,14 +98,18 @@
 // lateReason returns the main reason why a call was late.
 func (t Timeline) lateReason(last lineFields) string {
 	attempts, waited := 0, 0.0
-	var candidates string
+	var candidates, passedOver string
 	for _, l := range t.lines {
-		if l.fields.Choice == "send" {
+		switch l.fields.Choice {
+		case "send":
 			attempts++
 			waited += l.fields.WaitedMs
 			candidates = l.fields.Candidates
+		case "pass-over":
+			passedOver = fmt.Sprintf("; worker %s was passed over (%s)", l.fields.Worker, l.fields.Reason)
 		}
 	}
+	candidates += passedOver
 	switch {
 	case attempts > 1:
 		return fmt.Sprintf("%d attempts were made; the last one was at worker %s (%s)", attempts, last.Worker, candidates)
@@ -122,6 +126,8 @@
 		return fmt.Sprintf("no worker of %s had capacity to answer in time, after waiting %.1f ms", f.Service, f.WaitedMs)
 	case "no-worker":
 		return fmt.Sprintf("no usable worker of %s (%s)", f.Service, f.Candidates)
+	case "instance-stops":
+		return "the instance was stopping, and the call could not have ended before that"
 	}
 	return f.Reason
 }
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -1,11 +1,9 @@
 package gossiper
 
 import (
-	"math"
 	"sync/atomic"
 	"time"
 
-	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/tracker"
@@ -22,14 +20,10 @@
 	refresh time.Duration
 }
 
-// refreshIntervalOf returns the target interval between load reports of the workers of a
-// service.
-func refreshIntervalOf(service descriptor.Service) time.Duration {
-	shortest := time.Duration(math.MaxInt64)
-	for _, class := range service.Classes() {
-		shortest = min(shortest, class.Target().Latency())
-	}
-	interval := time.Duration(refreshTargetShare * float64(shortest))
+// refreshIntervalFor returns the target interval between load reports of the workers of a
+// service whose shortest target is given.
+func refreshIntervalFor(shortestTarget time.Duration) time.Duration {
+	interval := time.Duration(refreshTargetShare * float64(shortestTarget))
 	return min(max(interval, refreshInterval), maxRefreshInterval)
 }
 
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -30,12 +30,13 @@
 // in the old view.
 func newView(s *publisher.Snapshot, self registrar.Instance, old *view) *view {
 	v := &view{snapshot: s, byHash: map[uint32]*target{}, others: map[string][]peer{}, peers: map[uint32]peer{}}
+	shortestTargets := s.Deployment().ShortestTargets()
 	for _, service := range s.Deployment().Services() {
 		serviceState := s.ServiceState(service.Name())
 		if serviceState == nil {
 			continue
 		}
-		refresh := refreshIntervalOf(service)
+		refresh := refreshIntervalFor(shortestTargets[service.Name()])
 		for _, w := range serviceState.Pool().Workers() {
 			if w.Distance() > maxLocalDistance || w.Member().Leaving() {
 				continue
