Register an instance through another zone when the store refuses its own

Change: an instance asks up to four relays to register it, those of its zone first and then the first coordinators of the nearest zones; its own writes back off from 2 to 16 s.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return err
 	}
-	p.delegate = registrant.NewDelegate(p.store, zonePrefix, p.log)
+	p.delegate = registrant.NewDelegate(p.store, adapter.InstancePrefix, p.log)
 	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log, relayer.WithEnrolment(p.delegate.Enroll))
 	if err != nil {
 		return err
--- a/registrant/delegate.go
+++ b/registrant/delegate.go
@@ -75,7 +75,7 @@
 // not describe an instance or too many others wait.
 func (d *Delegate) Enroll(ctx context.Context, key string, value []byte) (storer.Revision, error) {
 	if !strings.HasPrefix(key, d.prefix) {
-		return storer.Revision{}, &EntryError{key: key, reason: "key is not that of an instance of this zone"}
+		return storer.Revision{}, &EntryError{key: key, reason: "key is not that of an instance"}
 	}
 	if _, err := Parse(key, value); err != nil {
 		return storer.Revision{}, err
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -26,11 +26,14 @@
 	// whether an instance is alive, not by its entry.
 	leaseTTL      = 10 * time.Minute
 	renewInterval = 3 * time.Minute
+	// retryDelay is the backoff after the first write that failed, and maxRetryDelay the
+	// longest one. Each try costs a call to the store.
 	retryDelay    = 2 * time.Second
+	maxRetryDelay = 16 * time.Second
 	// maxRewriteDelay spreads the writes of instances whose entries are all missing.
 	maxRewriteDelay = 500 * time.Millisecond
 	// enrolmentTimeout is how long a peer may take to write the entry.
-	enrolmentTimeout = 1500 * time.Millisecond
+	enrolmentTimeout = 2 * time.Second
 	// maxCPUs is more than a machine has. An entry beyond it would make its instance
 	// the first coordinator of its zone.
 	maxCPUs = 1 << 16
@@ -185,8 +188,9 @@
 	case <-ctx.Done():
 		return
 	}
-	for ctx.Err() == nil {
+	for failures := 0; ctx.Err() == nil; {
 		if r.enrolWithPeer(ctx) {
+			failures = 0
 			for r.awaitRenewal(ctx) { // The peer renews the lease.
 			}
 			continue
@@ -194,9 +198,11 @@
 		lease, err := r.write(ctx)
 		if err != nil {
 			r.log.Warn().Err(err).Msg("could not write this instance's entry to the store; retrying")
-			sleeper.Sleep(ctx, retryDelay)
+			failures++
+			sleeper.Sleep(ctx, sleeper.Backoff(retryDelay, maxRetryDelay, failures))
 			continue
 		}
+		failures = 0
 		r.renewLease(ctx, lease)
 	}
 }
--- a/relayer/enrolment.go
+++ b/relayer/enrolment.go
@@ -7,8 +7,10 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"time"
 
 	"burdocklane/holder"
+	"burdocklane/registrar"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
@@ -18,6 +20,10 @@
 	pathEnrolment = "/relay/enrolment"
 	// maxEnrolmentBytes bounds the request of an instance to be registered.
 	maxEnrolmentBytes = 4 << 10
+	// maxEnrolmentTries is how many relays an instance asks to register it.
+	maxEnrolmentTries = 4
+	// enrolmentTimeout is how long one of them may take.
+	enrolmentTimeout = 500 * time.Millisecond
 )
 
 // Enroll registers an instance by its entry in the store, and returns the store's
@@ -85,6 +91,8 @@
 }
 
 func (s *Selector) enrollAt(ctx context.Context, relay string, body []byte) (storer.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, enrolmentTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+relay+pathEnrolment, bytes.NewReader(body))
 	if err != nil {
 		return storer.Revision{}, errors.Wrap(err, "enrolment")
@@ -112,14 +120,18 @@
 	return storer.NewRevision(m.Era, m.Revision), nil
 }
 
-// enrolmentRelays returns host:port of the relay that has served this instance last, and
-// of those of its zone that are not cooling down.
+// enrolmentRelays returns host:port of the relay that has served this instance last, of
+// those of its zone, and of the first coordinators of other zones: the store may refuse a
+// whole zone.
 func (s *Selector) enrolmentRelays() []string {
 	var addresses []string
 	if served := s.served.Load(); served != nil {
 		addresses = append(addresses, *served)
 	}
-	for _, relay := range *s.relays.Load() {
+	for _, relay := range slices.Concat(*s.relays.Load(), registrar.CoordinatorsByRank(*s.instances.Load(), s.self)) {
+		if len(addresses) == maxEnrolmentTries {
+			break
+		}
 		if !s.isCoolingDown(relay.ID()) && !slices.Contains(addresses, relay.PeerAddress()) {
 			addresses = append(addresses, relay.PeerAddress())
 		}
--- a/relayer/enrolment_test.go
+++ b/relayer/enrolment_test.go
@@ -27,7 +27,7 @@
 	}
 	tests := []struct {
 		name   string
-		enroll []Enroll // Of the zone's relays in order.
+		enroll []Enroll // Of the relays in order, two of each zone.
 		served int      // The relay that served the keys before, or -1.
 		want   int64    // The revision, or 0 for an error.
 	}{
@@ -37,6 +37,7 @@
 		{"the relay that served the keys", []Enroll{failing, writing}, 1, 5},
 		{"a relay that registers nobody", []Enroll{nil}, -1, 0},
 		{"all fail", []Enroll{failing, failing}, 0, 0},
+		{"the store refuses the zone", []Enroll{failing, failing, writing}, -1, 5},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -50,7 +51,8 @@
 				c.Assert(err, qt.IsNil)
 				defer r.Close()
 				id := registrar.InstanceID(fmt.Sprintf("relay-%d", n))
-				instances = append(instances, registrar.NewInstance(id, r.Address(), "", self.Locality(), false).WithCPUs(float64(9-n)))
+				locality := registrar.NewLocality("r", string("abc"[n/2]))
+				instances = append(instances, registrar.NewInstance(id, r.Address(), "", locality, false).WithCPUs(float64(9-n)))
 				if n == test.served {
 					selector.recordServed(r.Address())
 				}
