Keep an unexpected error in one message, change or check from ending the process

The loops that receive datagrams went on without a pause after a lasting socket error.

Change: package recoverer runs a piece of work, logs a panic with its stack and counts it. It stands around each datagram of gossiper and scheduler, their ticks and checks, queued assignments, hedged attempts, each round of the follower and each batch of registrations; a call that panics ends by an aborted connection. What was held without defer stays held (a worker's slot at this instance); the number of calls in flight does not. The receiving loops pause 10 ms after an error.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,10 +79,14 @@
 	serviceState.Budget().Deposit()
 	d.inFlight.Add(1)
 	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable}
+	answered := false
+	defer func() { // Also after a panic.
+		if !answered {
+			d.inFlight.Add(-1)
+		}
+	}()
 	result := active.runAttempts()
-	if _, done := result.(Answered); !done {
-		d.inFlight.Add(-1)
-	}
+	_, answered = result.(Answered)
 	return result
 }
 
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"burdocklane/limiter"
+	"burdocklane/recoverer"
 	"burdocklane/retrier"
 	"burdocklane/sleeper"
 )
@@ -99,6 +100,11 @@
 func (c *activeCall) runHedge(h *hedge, first *attempt) {
 	defer c.dispatcher.activeHedges.Done()
 	defer close(h.finished)
+	recoverer.Do(*c.dispatcher.asserter.Log(), "hedged attempt", func() { c.sendHedge(h, first) }) //nolint:errcheck // Logged.
+}
+
+// sendHedge makes the hedged attempt once it is due.
+func (c *activeCall) sendHedge(h *hedge, first *attempt) {
 	if !c.awaitHedge(h, first) {
 		return
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/recoverer"
 	"burdocklane/sleeper"
 	"burdocklane/storer"
 
@@ -159,7 +160,7 @@
 }
 
 func (f *Follower) run(ctx context.Context) {
-	f.discover(ctx)
+	recoverer.Do(f.log, "search for the first source", func() { f.discover(ctx) }) //nolint:errcheck // Logged.
 	failures := 0
 	for ctx.Err() == nil {
 		lastContact := f.lastContact.Load()
@@ -189,12 +190,17 @@
 
 // followSources reads from relays as long as one serves, and then from the store
 // itself.
-func (f *Follower) followSources(ctx context.Context) error {
-	f.followRelays(ctx)
-	if ctx.Err() != nil {
-		return ctx.Err()
+func (f *Follower) followSources(ctx context.Context) (err error) {
+	panicked := recoverer.Do(f.log, "follow of the keys", func() {
+		f.followRelays(ctx)
+		if err = ctx.Err(); err == nil {
+			err = f.follow(ctx, f.store, false)
+		}
+	})
+	if panicked != nil {
+		return panicked
 	}
-	return f.follow(ctx, f.store, false)
+	return err
 }
 
 // backOff waits before the next try. An update from a peer that reaches the store
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/recoverer"
 	"burdocklane/storer"
 
 	"github.com/go-faster/errors"
@@ -77,16 +78,22 @@
 		}
 		if err != nil {
 			i.log.Debug().Err(err).Msg("datagram could not be received")
+			time.Sleep(socketErrorPause)
 			continue
 		}
 		receivedTotal.Inc()
-		from, records, err := decode(buffer[:n])
-		if err != nil {
-			i.log.Debug().Err(err).Msg("datagram is not readable")
-			continue
-		}
-		i.apply(from, records)
+		recoverer.Do(i.log, "gossip datagram", func() { i.handle(buffer[:n]) }) //nolint:errcheck // Logged.
+	}
+}
+
+// handle applies a datagram.
+func (i *Gossiper) handle(data []byte) {
+	from, records, err := decode(data)
+	if err != nil {
+		i.log.Debug().Err(err).Msg("datagram is not readable")
+		return
 	}
+	i.apply(from, records)
 }
 
 func (i *Gossiper) apply(from header, records []record) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"burdocklane/descriptor"
 	"burdocklane/healthchecker"
 	"burdocklane/publisher"
+	"burdocklane/recoverer"
 	"burdocklane/registrar"
 	"burdocklane/storer"
 
@@ -45,6 +46,9 @@
 	// the checks of its workers.
 	peerTimeout     = 6 * refreshInterval
 	maxDatagramSize = 8 << 10
+	// socketErrorPause is the pause after a datagram could not be received: the error may
+	// last.
+	socketErrorPause = 10 * time.Millisecond
 	// remoteTicks is the number of ticks between datagrams to another region.
 	remoteTicks      = 20
 	maxLocalDistance = 1 // Distance between availability zones of a region.
@@ -149,15 +153,21 @@
 			return
 		case <-timer.C:
 		}
-		v := i.current()
-		i.check(ctx, v)
-		if v.isCoordinator {
-			i.sendUpdates(v)
-		}
-		if v.isCoordinator && tick%remoteTicks == 0 {
-			i.sendRevision(v)
-		}
-		timer.Reset(nextTick(v.isCoordinator, len(*i.liveInstances.Load())))
+		recoverer.Do(i.log, "gossip tick", func() { i.tick(ctx, tick) }) //nolint:errcheck // Logged.
+		timer.Reset(nextTick(i.view.Load().isCoordinator, len(*i.liveInstances.Load())))
+	}
+}
+
+// tick starts the health checks that are due, and sends what is new.
+func (i *Gossiper) tick(ctx context.Context, number int) {
+	v := i.current()
+	i.check(ctx, v)
+	if !v.isCoordinator {
+		return
+	}
+	i.sendUpdates(v)
+	if number%remoteTicks == 0 {
+		i.sendRevision(v)
 	}
 }
 
@@ -195,7 +205,9 @@
 		if t.state.checking.CompareAndSwap(false, true) {
 			i.goroutines.Go(func() {
 				defer t.state.checking.Store(false)
-				i.applyCheck(ctx, t, i.checker.Check(ctx, t.worker.Member(), t.path))
+				recoverer.Do(i.log, "health check", func() { //nolint:errcheck // Logged.
+					i.applyCheck(ctx, t, i.checker.Check(ctx, t.worker.Member(), t.path))
+				})
 			})
 		}
 	}
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -13,6 +13,7 @@
 	"burdocklane/limiter"
 	"burdocklane/parser"
 	"burdocklane/publisher"
+	"burdocklane/recoverer"
 	"burdocklane/registrar"
 	"burdocklane/sender"
 	"burdocklane/tracker"
@@ -56,8 +57,23 @@
 	return h
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. An unexpected panic ends its call alone, by aborting
+// the connection: it isn't known what has run.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if value != http.ErrAbortHandler {
+			recoverer.Record(*h.asserter.Log(), "call", value)
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	h.serve(w, r)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/registrant/delegate.go
+++ b/registrant/delegate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"burdocklane/recoverer"
 	"burdocklane/sleeper"
 	"burdocklane/storer"
 
@@ -102,7 +103,7 @@
 		if !ok {
 			return
 		}
-		lease, revision, err := writeEntries(d.ctx, d.store, batch)
+		lease, revision, err := d.write(batch)
 		for _, e := range batch {
 			e.result <- enrolmentResult{revision: revision, err: err}
 		}
@@ -116,6 +117,17 @@
 	}
 }
 
+// write writes the entries of a batch.
+func (d *Delegate) write(batch []enrolment) (lease storer.Lease, revision storer.Revision, err error) {
+	panicked := recoverer.Do(d.log, "registration of other instances", func() {
+		lease, revision, err = writeEntries(d.ctx, d.store, batch)
+	})
+	if panicked != nil {
+		return storer.Lease{}, storer.Revision{}, panicked
+	}
+	return lease, revision, err
+}
+
 // gather waits for an entry and for those that come shortly after it. It returns false
 // when the Delegate is closed.
 func (d *Delegate) gather() ([]enrolment, bool) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -16,6 +16,7 @@
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/publisher"
+	"burdocklane/recoverer"
 	"burdocklane/registrar"
 	"burdocklane/tracker"
 
@@ -35,9 +36,12 @@
 	timeoutBackoff = 300 * time.Millisecond
 	// expiryGrace is how long after a call's deadline a slot stays taken at most, if
 	// no completion message arrives.
-	expiryGrace       = 200 * time.Millisecond
-	sweepInterval     = 100 * time.Millisecond
-	maxDatagramSize   = 2 << 10
+	expiryGrace     = 200 * time.Millisecond
+	sweepInterval   = 100 * time.Millisecond
+	maxDatagramSize = 2 << 10
+	// socketErrorPause is the pause after a datagram could not be received: the error may
+	// last.
+	socketErrorPause  = 10 * time.Millisecond
 	receiveBufferSize = 256 << 10
 )
 
@@ -131,21 +135,27 @@
 		}
 		if err != nil {
 			s.log.Debug().Err(err).Msg("datagram could not be received")
+			time.Sleep(socketErrorPause)
 			continue
 		}
-		message, err := decode(buffer[:n])
-		if err != nil {
-			s.log.Debug().Err(err).Msg("datagram is not readable")
-			continue
-		}
-		switch m := message.(type) {
-		case *assignmentRequest:
-			s.handleRequest(*m, from)
-		case *assignmentReply:
-			s.handleReply(*m)
-		case *completion:
-			s.handleCompletion(*m)
-		}
+		recoverer.Do(s.log, "scheduler datagram", func() { s.handle(buffer[:n], from) }) //nolint:errcheck // Logged.
+	}
+}
+
+// handle answers or applies a datagram.
+func (s *Scheduler) handle(data []byte, from *net.UDPAddr) {
+	message, err := decode(data)
+	if err != nil {
+		s.log.Debug().Err(err).Msg("datagram is not readable")
+		return
+	}
+	switch m := message.(type) {
+	case *assignmentRequest:
+		s.handleRequest(*m, from)
+	case *assignmentReply:
+		s.handleReply(*m)
+	case *completion:
+		s.handleCompletion(*m)
 	}
 }
 
@@ -177,7 +187,11 @@
 		return
 	}
 	s.send(assignmentReply{Kind: kindReply, Status: statusQueued, Call: m.Call}, from)
-	s.goroutines.Go(func() { s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), from) })
+	s.goroutines.Go(func() {
+		recoverer.Do(s.log, "queued assignment", func() { //nolint:errcheck // Logged.
+			s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), from)
+		})
+	})
 }
 
 // grantSlot records the grant and replies with the worker, or rejects the request.
@@ -235,12 +249,16 @@
 		case <-s.ctx.Done():
 			return
 		case now := <-ticker.C:
-			s.grants.Range(func(key, value any) bool {
-				if now.After(value.(*grant).expires) {
-					s.release(key.(callID), limiter.OutcomeNone)
-				}
-				return true
-			})
+			recoverer.Do(s.log, "sweep of grants", func() { s.releaseExpired(now) }) //nolint:errcheck // Logged.
 		}
 	}
 }
+
+func (s *Scheduler) releaseExpired(now time.Time) {
+	s.grants.Range(func(key, value any) bool {
+		if now.After(value.(*grant).expires) {
+			s.release(key.(callID), limiter.OutcomeNone)
+		}
+		return true
+	})
+}
