Weigh only the workers of the region where no others may be chosen

Cause: a scheduler weighed all workers of a service for each call, 701 on the large site, though it may choose only those of its region (a third).

Change: the pool keeps the list of the region's workers. If none of them is usable, all are weighed, so that "wait" and "refuse" stay what they were.

--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -51,6 +51,7 @@
 // once.
 type workerSet struct {
 	workers          []*tracker.Worker
+	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
 	workersWithShare int // Workers at which the instance has a slot.
 }
@@ -174,6 +175,9 @@
 		next.slots += shares[i]
 		next.workersWithShare += min(shares[i], 1)
 		next.workers = append(next.workers, w)
+		if w.Distance() < picker.RemoteDistance {
+			next.local = append(next.local, w)
+		}
 	}
 	p.workerSet.Store(next)
 	p.dispatch()
@@ -250,12 +254,20 @@
 	if _, ok := policy.(picker.RoundRobin); ok {
 		policy = picker.NewRoundRobin(p.roundRobinCounter.Add(1))
 	}
-	workers := p.workerSet.Load().workers
+	set := p.workerSet.Load()
+	workers := set.workers
+	if req.localOnly {
+		workers = set.local
+	}
 	for range maxAcquireAttempts {
 		now := p.Now()
 		candidates := p.buildCandidates(buffer[:0], workers, req, now, summary)
 		decision := picker.Pick(policy, candidates, p.rng)
 		send, ok := decision.(picker.Send)
+		if _, refused := decision.(picker.Refuse); refused && len(workers) < len(set.workers) {
+			workers = set.workers // A worker of another region may be usable.
+			continue
+		}
 		if !ok {
 			return nil, decision
 		}
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -112,7 +112,7 @@
 func (c Candidate) State() State { return c.state }
 
 // Remote reports whether the worker is in another region.
-func (c Candidate) Remote() bool { return c.distance >= remoteDistance }
+func (c Candidate) Remote() bool { return c.distance >= RemoteDistance }
 
 // Readmitted returns c as usable if it was ejected.
 func (c Candidate) Readmitted() Candidate {
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -219,14 +219,14 @@
 	return Refuse{}
 }
 
-// remoteDistance is the distance between localities of different regions.
-const remoteDistance = 2
+// RemoteDistance is the distance between localities of different regions.
+const RemoteDistance = 2
 
 // overflowLimit returns how many calls an instance may have at a worker when
 // it exceeds its own slots: the worker's queue absorbs them. Workers of other
 // regions take no more than the limit, but at least one call.
 func (c *Candidate) overflowLimit() int32 {
-	if c.distance >= remoteDistance {
+	if c.distance >= RemoteDistance {
 		return max(c.limit, 1)
 	}
 	return 2*c.limit + 1
@@ -236,7 +236,7 @@
 	best := newLowestScore()
 	for i := range candidates {
 		c := &candidates[i]
-		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!allowRemote && c.distance >= remoteDistance) {
+		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!allowRemote && c.distance >= RemoteDistance) {
 			continue
 		}
 		best.offer(i, scoreByQueueingLatency(c), rng)
--- a/picker/reported_load.go
+++ b/picker/reported_load.go
@@ -54,7 +54,7 @@
 	switch distance {
 	case 0:
 		return 0
-	case remoteDistance:
+	case RemoteDistance:
 		return int64(regionPenalty)
 	}
 	return int64(max(zonePenalty, time.Duration(zonePenaltyShare*float64(p.untilTarget))))
@@ -92,7 +92,7 @@
 			continue
 		}
 		usable = true
-		if p.localOnly && c.distance >= remoteDistance {
+		if p.localOnly && c.distance >= RemoteDistance {
 			continue
 		}
 		considered++
