Write an entry that a peer has written again before its lease ends

Cause: the relay that registered a zone renewed the lease of its batch. When it stopped, all entries of the batch ended together ten minutes later, and a whole zone was unlisted until it had registered again.

Change: a relay doesn't renew; an instance asks again after six minutes, whichever instance is the relay then.

--- a/registrant/delegate.go
+++ b/registrant/delegate.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"burdocklane/recoverer"
-	"burdocklane/sleeper"
 	"burdocklane/storer"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,9 +31,8 @@
 func (*BusyError) Error() string { return "too many instances wait to be registered" }
 
 // Delegate registers other instances, many of them by one write and under one lease, so
-// that the writes at a start of the whole fleet grow with its zones. It renews the
-// leases while it runs. When it does not, they expire, and the instances notice that
-// their entries are missing.
+// that the writes at a start of the whole fleet grow with its zones. It doesn't renew the
+// leases: the instances ask again in time, whichever instance is the relay then.
 type Delegate struct {
 	store   storer.Store
 	prefix  string
@@ -103,7 +101,7 @@
 		if !ok {
 			return
 		}
-		lease, revision, err := d.write(batch)
+		revision, err := d.write(batch)
 		for _, e := range batch {
 			e.result <- enrolmentResult{revision: revision, err: err}
 		}
@@ -113,19 +111,18 @@
 		}
 		enrolledTotal.Add(len(batch))
 		d.log.Info().Int("entries", len(batch)).Stringer("store-revision", revision).Msg("registered other instances")
-		d.done.Go(func() { d.renew(lease) })
 	}
 }
 
 // write writes the entries of a batch.
-func (d *Delegate) write(batch []enrolment) (lease storer.Lease, revision storer.Revision, err error) {
+func (d *Delegate) write(batch []enrolment) (revision storer.Revision, err error) {
 	panicked := recoverer.Do(d.log, "registration of other instances", func() {
-		lease, revision, err = writeEntries(d.ctx, d.store, batch)
+		_, revision, err = writeEntries(d.ctx, d.store, batch)
 	})
 	if panicked != nil {
-		return storer.Lease{}, storer.Revision{}, panicked
+		return storer.Revision{}, panicked
 	}
-	return lease, revision, err
+	return revision, err
 }
 
 // gather waits for an entry and for those that come shortly after it. It returns false
@@ -153,20 +150,6 @@
 	return batch, true
 }
 
-// renew renews the lease of a batch until it has expired.
-func (d *Delegate) renew(lease storer.Lease) {
-	for sleeper.Sleep(d.ctx, renewInterval) {
-		alive, err := storer.KeepAlive(d.ctx, d.store, lease)
-		if err != nil {
-			d.log.Warn().Err(err).Msg("could not renew the lease of other instances' entries; retrying at the next renewal")
-			continue
-		}
-		if !alive {
-			return
-		}
-	}
-}
-
 // writeEntries writes entries under a lease of their own.
 func writeEntries(ctx context.Context, store storer.Store, entries []enrolment) (storer.Lease, storer.Revision, error) {
 	lease, err := storer.Grant(ctx, store, leaseTTL)
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -26,6 +26,9 @@
 	// whether an instance is alive, not by its entry.
 	leaseTTL      = 10 * time.Minute
 	renewInterval = 3 * time.Minute
+	// enrolmentRenewals is how many times renewInterval an instance waits before a peer
+	// writes its entry again. It leaves time to retry before the lease ends.
+	enrolmentRenewals = 2
 	// retryDelay is the backoff after the first write that failed, and maxRetryDelay the
 	// longest one. Each try costs a call to the store.
 	retryDelay    = 2 * time.Second
@@ -191,8 +194,7 @@
 	for failures := 0; ctx.Err() == nil; {
 		if r.enrolWithPeer(ctx) {
 			failures = 0
-			for r.awaitRenewal(ctx) { // The peer renews the lease.
-			}
+			r.awaitNextEnrolment(ctx)
 			continue
 		}
 		lease, err := r.write(ctx)
@@ -255,6 +257,16 @@
 	}
 }
 
+// awaitNextEnrolment waits until the entry has to be written again: its lease, which
+// nobody renews, ends some minutes later, or it is missing.
+func (r *Registrant) awaitNextEnrolment(ctx context.Context) {
+	for range enrolmentRenewals {
+		if !r.awaitRenewal(ctx) {
+			return
+		}
+	}
+}
+
 // awaitRenewal waits until the lease is due for renewal. It returns false if the
 // entry has to be written again or the context has ended.
 func (r *Registrant) awaitRenewal(ctx context.Context) bool {
