Look for the relay again while the one that is listed does not serve

Cause: TestStartsOfAWholeZoneReadTheStoreOnce failed once beside load (7 reads of the store, 5 allowed). Traced: six instances had read a stale list that named one instance; a better one was listed 0.1 s later and became the relay, but the six kept on asking the first one for 2.5 s and then read the store.

Change: the list is read again after 0.25 s without a relay that serves.

--- a/follower/discovery.go
+++ b/follower/discovery.go
@@ -75,8 +75,10 @@
 		}
 		switch source := f.discovery.choose(listed.Pairs(), f.now()).(type) {
 		case FromRelays:
-			f.followFirst(ctx, source.relays)
-			return
+			if f.followFirst(ctx, source.relays) {
+				return
+			}
+			continue
 		case FromStore:
 			return
 		case NotYet:
@@ -88,19 +90,21 @@
 	}
 }
 
-// followFirst follows the first of the relays that serves. They may be starting too, so
-// that each is tried until discoveryTimeout.
-func (f *Follower) followFirst(ctx context.Context, relays []storer.Store) {
-	for f.now() < discoveryTimeout {
+// followFirst follows the first of the relays that serves, and reports whether one did or
+// the context has ended. They may be starting too, so that each is tried repeatedly, but
+// only for discoveryInterval: the list may name another relay by then.
+func (f *Follower) followFirst(ctx context.Context, relays []storer.Store) bool {
+	for until := f.now() + discoveryInterval; f.now() < until; {
 		for _, relay := range relays {
 			err := f.follow(ctx, relay, true)
 			if f.lastContact.Load() != 0 || ctx.Err() != nil {
-				return
+				return true
 			}
 			f.log.Debug().Err(err).Str("source", storer.Name(relay)).Msg("relay does not serve yet")
 		}
 		if !sleeper.Sleep(ctx, relayRetryInterval) {
-			return
+			return true
 		}
 	}
+	return false
 }
--- a/registrant/registrant.go
+++ b/registrant/registrant.go
@@ -149,7 +149,7 @@
 // unchanged entry of an earlier start is not written again; a missing or changed
 // one is. A read from before the last write tells nothing.
 func (r *Registrant) Observe(stored storer.RangeResult) {
-	present := r.IsListed(stored.Pairs())
+	present := r.isListed(stored.Pairs())
 	if !present && !stored.Revision().IsZero() && stored.Revision().Before(r.written.Load()) {
 		return
 	}
@@ -166,8 +166,8 @@
 	}
 }
 
-// IsListed reports whether the entries include the one of this instance.
-func (r *Registrant) IsListed(pairs []storer.Pair) bool {
+// isListed reports whether the entries include the one of this instance.
+func (r *Registrant) isListed(pairs []storer.Pair) bool {
 	return slices.ContainsFunc(pairs, func(p storer.Pair) bool {
 		return p.Key() == r.key && bytes.Equal(p.Value(), r.value)
 	})
