Send all load reports, and answer for services that are not known

Tests: TestRecordsAreSentInAsManyDatagramsAsNeeded and TestUnknownServiceDoesNotSilenceTheScheduler fail before.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -54,7 +54,17 @@
 	}
 }
 
+// send sends the records to the peers, in as many datagrams as they need, or a datagram
+// without records.
 func (i *Gossiper) send(revision storer.Revision, records []record, peers ...peer) {
+	for len(records) > maxRecords {
+		i.sendDatagram(revision, records[:maxRecords], peers...)
+		records = records[maxRecords:]
+	}
+	i.sendDatagram(revision, records, peers...)
+}
+
+func (i *Gossiper) sendDatagram(revision storer.Revision, records []record, peers ...peer) {
 	data, err := encode(i.hash, revision, i.hooks.configuration(), records)
 	if err != nil {
 		i.log.Error().Err(err).Msg("datagram could not be made")
--- a/gossiper/update_test.go
+++ b/gossiper/update_test.go
@@ -10,6 +10,7 @@
 	"burdocklane/tracker"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 )
 
 func reportOf(slowdown float64) record {
@@ -241,3 +242,38 @@
 		})
 	}
 }
+
+// Pattern: a coordinator with hundreds of workers. Guards against reports that do not fit
+// into a datagram and are dropped.
+func TestRecordsAreSentInAsManyDatagramsAsNeeded(t *testing.T) {
+	tests := []struct {
+		name      string
+		records   int
+		datagrams int
+	}{
+		{"a heartbeat", 0, 1},
+		{"as many as fit", maxRecords, 1},
+		{"one more", maxRecords + 1, 2},
+		{"hundreds", 600, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			remote := listenUDP(c)
+			hooks := NewRevisionHooks(func() storer.Revision { return storer.Revision{} }, func(storer.Revision) {})
+			i := &Gossiper{socket: listenUDP(c), hooks: hooks, log: zerolog.Nop()}
+			to := peerOf("a1", "a")
+			to.address = remote.LocalAddr().(*net.UDPAddr)
+			i.send(storer.Revision{}, make([]record, test.records), to)
+			received, buffer := 0, make([]byte, maxDatagramSize)
+			for range test.datagrams {
+				n, _, err := remote.ReadFromUDP(buffer)
+				c.Assert(err, qt.IsNil)
+				_, records, err := decode(buffer[:n])
+				c.Assert(err, qt.IsNil)
+				received += len(records)
+			}
+			c.Assert(received, qt.Equals, test.records)
+		})
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -35,9 +35,10 @@
 // WithBufferSize sets how many decisions can be buffered before lines are dropped.
 func WithBufferSize(decisions int) Option { return func(r *Recorder) { r.bufferSize = decisions } }
 
-// WithRecentSize sets how many of the latest decisions are kept in memory for [Recorder.DecisionsFor].
+// WithRecentSize sets how many of the latest decisions are kept in memory for [Recorder.DecisionsFor],
+// at least one.
 func WithRecentSize(decisions int) Option {
-	return func(r *Recorder) { r.recent = make([]atomic.Pointer[Decision], decisions) }
+	return func(r *Recorder) { r.recent = make([]atomic.Pointer[Decision], max(decisions, 1)) }
 }
 
 // New returns a Recorder that writes to the log, and starts its goroutine.
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -49,6 +49,9 @@
 	statusAssigned replyStatus = iota + 1
 	statusQueued
 	statusRejected
+	// statusUnknownService says that the scheduler doesn't know the service, as it has
+	// another configuration: the requester decides itself.
+	statusUnknownService
 )
 
 // assignmentReply answers an assignment request. It carries the latest load report
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -49,6 +49,8 @@
 				continue
 			case statusAssigned:
 				return r.resolve(reply)
+			case statusUnknownService:
+				return limiter.Undecided{}
 			}
 			return limiter.Rejected{}
 		case <-ctx.Done():
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -164,6 +164,7 @@
 	v := s.current()
 	service := v.services[m.Service]
 	if service == nil {
+		s.send(assignmentReply{Kind: kindReply, Status: statusUnknownService, Call: m.Call}, from)
 		return
 	}
 	request := service.toPool(m).OnBehalfOfPeer()
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -167,6 +167,31 @@
 	c.Assert(ok, qt.IsTrue)
 }
 
+// Guards against a scheduler that has not got a new configuration yet and keeps silent
+// about a new service: it would get no requests for other services either for a while.
+func TestUnknownServiceDoesNotSilenceTheScheduler(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := qt.New(t)
+	r := newRegion(c, 2, 2)
+	owner, _ := registrar.RendezvousOwner(r.instances, "s", "")
+	requester := 0
+	if owner.ID() == r.instances[0].ID() {
+		requester = 1
+	}
+	for n := range 20 {
+		name := descriptor.ServiceName(fmt.Sprintf("new-%d", n))
+		if other, _ := registrar.RendezvousOwner(r.instances, string(name), ""); other.ID() != owner.ID() {
+			continue
+		}
+		pool := limiter.New(name, r.instances[requester], limiter.WithPolicy(picker.ReportedLoad{}))
+		_, undecided := r.schedulers[requester].Assign(context.Background(), pool, newRequest()).(limiter.Undecided)
+		c.Assert(undecided, qt.IsTrue)
+		assigned, ok := r.schedulers[requester].Assign(context.Background(), r.pools[requester], newRequest()).(limiter.Assigned)
+		c.Assert(ok, qt.IsTrue)
+		assigned.ReportOutcome(limiter.OutcomeSuccess)
+	}
+}
+
 // Guards against calls that stay in a region whose workers are all slow: they go
 // to a worker with spare capacity in another region.
 func TestCallGoesToAnotherRegionWhenItsOwnIsSlow(t *testing.T) {
