Read Retry-After of workers with fractions and as a date

Change: parser.ParseRetryAfter takes seconds with fractions and HTTP dates, bounded by 30 s; what cannot be read counts as not sent, with a counter.

--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -5,15 +5,16 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"burdocklane/classifier"
+	"burdocklane/parser"
 	"burdocklane/registrar"
 	"burdocklane/retrier"
 	"burdocklane/sender"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 )
 
@@ -111,10 +112,18 @@
 	response.Body = io.NopCloser(bytes.NewReader(data))
 }
 
+// parseRetryAfter returns how long the worker wants no calls, or 0 if it does not say so.
 func parseRetryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	text := h.Get("Retry-After")
+	if text == "" {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	pause, ok := parser.ParseRetryAfter(text, time.Now())
+	if !ok {
+		unreadableRetryAfter.Inc()
+	}
+	return pause
 }
+
+// unreadableRetryAfter counts the Retry-After headers of workers that cannot be read.
+var unreadableRetryAfter = metrics.NewCounter("burdocklane_retry_after_unreadable_total")
