Ask all other regions if the own one has no usable worker

A region lost its workers of a service; its scheduler asked one of the two other regions, at random, and rejected the call if that one had no spare capacity.

Change: without a usable worker of the region, the other regions are asked one after another. With one, still only one is asked.

The test of calls that leave a region became a table; its row is unchanged.

--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -181,6 +182,15 @@
 	p.congestionFactor.CompareAndSwap(old, int64(next))
 }
 
+// HasUsableLocalWorker reports whether a worker of the instance's region may get calls.
+func (p *Pool) HasUsableLocalWorker() bool {
+	now := p.Now()
+	return slices.ContainsFunc(p.workerSet.Load().local, func(w *tracker.Worker) bool {
+		state := w.State(p.meanLatencyAt(w.Distance()), now)
+		return state == picker.Usable || state == picker.Suspect
+	})
+}
+
 // LatencyEstimate returns the base latency of a call and the expected slowdown of the
 // worker. known is false if the pool does not use load reports.
 func (p *Pool) LatencyEstimate(w *tracker.Worker, target time.Duration) (base time.Duration, slowdown float64, known bool) {
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -81,12 +81,18 @@
 	}
 }
 
-// requestRemote requests spare capacity from a scheduler of another region.
+// requestRemote requests spare capacity from a scheduler of another region. If the own
+// region has no usable worker, it asks the others one after another: the call has no
+// other way to be served.
 func (s *Scheduler) requestRemote(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
-	for _, candidates := range s.current().coordinators { // Map order: a random region.
+	for _, candidates := range s.current().coordinators { // Map order: a random region first.
 		candidates = slices.DeleteFunc(slices.Clone(candidates), s.inBackoff)
-		if len(candidates) > 0 {
-			return s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeout)
+		if len(candidates) == 0 {
+			continue
+		}
+		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeout)
+		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() {
+			return assignment
 		}
 	}
 	return limiter.Rejected{}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -192,29 +192,60 @@
 	}
 }
 
-// Guards against calls that stay in a region whose workers are all slow: they go
-// to a worker with spare capacity in another region.
-func TestCallGoesToAnotherRegionWhenItsOwnIsSlow(t *testing.T) {
-	t.Cleanup(func() { goleak.VerifyNone(t) })
-	c := qt.New(t)
+// Pattern: the workers of a region are all slow, or all gone. Guards against calls that
+// stay there, and, where none is left, against ones that are rejected because the only
+// other region that was asked is slow too.
+func TestCallGoesToAnotherRegion(t *testing.T) {
+	tests := []struct {
+		name    string
+		regions []string // The own one first: "calm", "slow", or "none" without workers.
+		calls   int      // The other regions are asked in random order.
+	}{
+		{"its own region is slow", []string{"slow", "calm"}, 1},
+		{"its own region has no worker", []string{"none", "slow", "slow", "slow", "calm"}, 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Cleanup(func() { goleak.VerifyNone(t) })
+			c := qt.New(t)
+			r := newRegions(c, test.regions)
+			for range test.calls {
+				now := time.Now()
+				request := limiter.NewRequest(time.Second, now.Add(time.Minute)).WithTargetDeadline(now.Add(time.Second))
+				assignment, ok := r.schedulers[0].Assign(context.Background(), r.pools[0], request).(limiter.Assigned)
+				c.Assert(ok, qt.IsTrue)
+				c.Assert(assignment.Worker().ID(), qt.Equals, registrar.WorkerID("calm"))
+				assignment.ReportOutcome(limiter.OutcomeSuccess)
+				for r.held() > 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+}
+
+// newRegions starts an instance in each of several regions, with a worker that reports as
+// the region's kind says.
+func newRegions(c *qt.C, kinds []string) *region {
 	r := &region{}
 	var members []registrar.Worker
-	for _, name := range []string{"slow", "calm"} {
+	ids := make([]registrar.WorkerID, len(kinds))
+	for n, kind := range kinds {
+		name := fmt.Sprintf("%s-%d", kind, n)
 		locality := registrar.NewLocality(name, name+"-a")
-		i := registrar.NewInstance(registrar.InstanceID("in-"+name), "", "", locality, false)
-		r.instances = append(r.instances, i.WithSchedulerAddress(freeAddress(c)))
-		members = append(members, registrar.NewWorker(registrar.WorkerID(name), "s", "", locality, 3, false))
+		r.instances = append(r.instances, registrar.NewInstance(registrar.InstanceID("in-"+name), "", "", locality, false).WithSchedulerAddress(freeAddress(c)))
+		if ids[n] = registrar.WorkerID(name); kind == "calm" {
+			ids[n] = "calm"
+		}
+		if kind != "none" {
+			members = append(members, registrar.NewWorker(ids[n], "s", "", locality, 3, false))
+		}
 	}
 	r.open(c, members)
-	slow := r.pools[0]
-	slow.RecordReport(slow.Find("slow"), tracker.NewReport(0, 0, 3, 7, slow.Now()))
-	now := time.Now()
-	request := limiter.NewRequest(time.Second, now.Add(time.Minute)).WithTargetDeadline(now.Add(time.Second))
-	assignment, ok := r.schedulers[0].Assign(context.Background(), slow, request).(limiter.Assigned)
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(assignment.Worker().ID(), qt.Equals, registrar.WorkerID("calm"))
-	assignment.ReportOutcome(limiter.OutcomeSuccess)
-	for r.held() > 0 {
-		time.Sleep(time.Millisecond)
+	for n, kind := range kinds {
+		if kind == "slow" {
+			r.pools[n].RecordReport(r.pools[n].Find(ids[n]), tracker.NewReport(0, 0, 3, 7, r.pools[n].Now()))
+		}
 	}
+	return r
 }
