Read a health check's load in one place, and serve endless responses by one

- verifier and gossiper both picked the load report out of a health check's result: healthchecker.LoadOf serves both, and the accessors that they used are gone.
- The same server of endless responses stood in the tests of lister, storer and relayer: emulator.NewEndless.
What the tests assert is unchanged.
- The plan of a stop answered a question and changed the call behind it: it now returns the call with its deadline.
The reason of its refusals is no longer exported.
- A comment of Delegate still spoke of renewals.

Seen and left: five era errors of storer have one form; the entry of an instance under its former key is looked for with each change, which can go once no instance of the version before runs; two rows of platform/era_test.go share their set-up.

--- a/classifier/request.go
+++ b/classifier/request.go
@@ -87,11 +87,11 @@
 
 // EndingBy returns the call with a deadline that is not after the given time.
 func (c *Call) EndingBy(end time.Time) Call {
-	earlier := *c
-	if earlier.deadline.After(end) {
-		earlier.deadline = end
+	limited := *c
+	if limited.deadline.After(end) {
+		limited.deadline = end
 	}
-	return earlier
+	return limited
 }
 
 // MayRepeat reports whether the call may run more than once.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -71,8 +71,8 @@
 	if !ok {
 		return Unmatched{}
 	}
-	call := matched.Call()
-	if !d.stop.Load().admits(&call) {
+	call, inTime := d.stop.Load().limit(matched.Call())
+	if !inTime {
 		return d.rejectLate(&call)
 	}
 	serviceState := snapshot.ServiceState(call.Service().Name())
--- a/dispatcher/stop.go
+++ b/dispatcher/stop.go
@@ -7,9 +7,9 @@
 	"burdocklane/recorder"
 )
 
-// ReasonStopping is the reason for which a call is not run that comes late in a planned
+// reasonStopping is the reason for which a call is not run that comes late in a planned
 // stop.
-const ReasonStopping = "instance-stops"
+const reasonStopping = "instance-stops"
 
 // stopPlan is the schedule of a planned stop. It is immutable.
 type stopPlan struct {
@@ -25,24 +25,20 @@
 	d.stop.Store(&stopPlan{lateFrom: lateFrom, end: end})
 }
 
-// admits reports whether a call that arrives during the stop is run, and moves its
-// deadline before the end of the stop.
-func (s *stopPlan) admits(call *classifier.Call) bool {
+// limit returns the call with a deadline that is not after the end of the stop, and false
+// if the call arrives too late to be run.
+func (s *stopPlan) limit(call classifier.Call) (classifier.Call, bool) {
 	if s == nil || !call.Deadline().After(s.end) {
-		return true
+		return call, true
 	}
-	if !call.Arrival().Before(s.lateFrom) {
-		return false
-	}
-	*call = call.EndingBy(s.end)
-	return true
+	return call.EndingBy(s.end), call.Arrival().Before(s.lateFrom)
 }
 
 // rejectLate ends a call that arrives too late in a planned stop.
 func (d *Dispatcher) rejectLate(call *classifier.Call) Result {
-	d.recorder.Record(recorder.NewDecision(call.ID(), time.Now(), "refuse", ReasonStopping,
+	d.recorder.Record(recorder.NewDecision(call.ID(), time.Now(), "refuse", reasonStopping,
 		recorder.WithClass(call.Service().Name(), call.Class().Name()),
 		recorder.WithTarget(call.Class().Target().Latency())))
 	d.metrics.countOutcome(call, "not-run")
-	return NotRun{reason: ReasonStopping}
+	return NotRun{reason: reasonStopping}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -241,13 +241,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	var reading healthchecker.LoadReading
 	switch h := health.(type) {
 	case healthchecker.Healthy:
-		reading = h.Load()
 		t.worker.SetUnhealthy(false)
 	case healthchecker.Unhealthy:
-		reading = h.Load()
 		t.worker.SetUnhealthy(true)
 	case healthchecker.Unreachable:
 		i.log.Debug().Err(h.Err()).Str("worker", string(t.worker.ID())).Msg("worker did not answer a health check")
@@ -259,7 +256,7 @@
 		t.pool.MarkLeaving(t.worker)
 		return
 	}
-	if load, ok := reading.Load(); ok {
+	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
 	}
 }
--- a/healthchecker/healthchecker.go
+++ b/healthchecker/healthchecker.go
@@ -24,11 +24,11 @@
 type Health interface{ health() }
 
 // Healthy is the result for a worker that reports that it is healthy.
-type Healthy struct{ load LoadReading }
+type Healthy struct{ load loadReading }
 
 // Unhealthy is the result for a worker that reports that it is unhealthy or about to
 // stop.
-type Unhealthy struct{ load LoadReading }
+type Unhealthy struct{ load loadReading }
 
 // Unreachable is the result for a worker that did not answer.
 type Unreachable struct{ err error }
@@ -41,20 +41,23 @@
 func (Unreachable) health() {}
 func (WrongWorker) health() {}
 
-// LoadReading is the load report of a response, if the response has one.
-type LoadReading struct {
+// loadReading is the load report of a response, if the response has one.
+type loadReading struct {
 	load  parser.Load
 	known bool
 }
 
-// Load returns the load report, and false if there is none.
-func (r LoadReading) Load() (parser.Load, bool) { return r.load, r.known }
-
-// Load returns the load report of the response.
-func (h Healthy) Load() LoadReading { return h.load }
-
-// Load returns the load report of the response.
-func (u Unhealthy) Load() LoadReading { return u.load }
+// LoadOf returns the load report of a result, and false if there is none.
+func LoadOf(health Health) (parser.Load, bool) {
+	switch h := health.(type) {
+	case Healthy:
+		return h.load.load, h.load.known
+	case Unhealthy:
+		return h.load.load, h.load.known
+	case Unreachable, WrongWorker:
+	}
+	return parser.Load{}, false
+}
 
 // Err returns the error of the request. It may be nil.
 func (u Unreachable) Err() error { return u.err }
@@ -103,9 +106,9 @@
 		return WrongWorker{id: registrar.WorkerID(id)}
 	}
 	// A missing or malformed load report does not change the health of the worker.
-	var reading LoadReading
+	var reading loadReading
 	if load, err := parser.ParseLoad(response.Header.Get(c.loadHeader)); err == nil {
-		reading = LoadReading{load: load, known: true}
+		reading = loadReading{load: load, known: true}
 	}
 	if response.StatusCode == http.StatusOK {
 		return Healthy{load: reading}
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"burdocklane/emulator"
 	"burdocklane/holder"
 	"burdocklane/lister"
 	"burdocklane/registrar"
@@ -68,14 +66,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				io.WriteString(w, test.start)
-				for block := strings.Repeat(test.part, 8<<10); ; {
-					if _, err := io.WriteString(w, block); err != nil {
-						return
-					}
-				}
-			}))
+			server := emulator.NewEndless(test.start, test.part)
 			defer server.Close()
 			_, err := lister.Fetch(context.Background(), server.URL)
 			var tooLong *holder.TooLongError
--- a/registrant/delegate.go
+++ b/registrant/delegate.go
@@ -63,7 +63,7 @@
 	return d
 }
 
-// Close ends the writes and renewals, and waits for them.
+// Close ends the writes, and waits for them.
 func (d *Delegate) Close() {
 	d.cancel()
 	d.done.Wait()
--- a/relayer/endless_test.go
+++ b/relayer/endless_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
-	"net/http/httptest"
 	"runtime"
-	"strings"
 	"testing"
 
+	"burdocklane/emulator"
 	"burdocklane/holder"
 	"burdocklane/storer"
 
@@ -31,14 +28,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				io.WriteString(w, test.start)
-				for block := strings.Repeat(test.part, 8<<10); ; {
-					if _, err := io.WriteString(w, block); err != nil {
-						return
-					}
-				}
-			}))
+			server := emulator.NewEndless(test.start, test.part)
 			defer server.Close()
 			client := newClient()
 			defer client.CloseIdleConnections()
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"burdocklane/emulator"
 	"burdocklane/holder"
 	"burdocklane/storer"
 
@@ -122,14 +123,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				io.WriteString(w, test.start)
-				for block := strings.Repeat(test.part, 8<<10); ; {
-					if _, err := io.WriteString(w, block); err != nil {
-						return
-					}
-				}
-			}))
+			server := emulator.NewEndless(test.start, test.part)
 			defer server.Close()
 			gateway := storer.NewGateway(server.URL)
 			defer gateway.Close()
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -79,9 +79,9 @@
 // Judge returns the verdict for a worker by its health check. A health check may lie: a
 // worker that was chosen although it was known to be unhealthy is no worse now.
 func Judge(health healthchecker.Health, knownUnhealthy bool) Verdict {
-	switch h := health.(type) {
+	switch health.(type) {
 	case healthchecker.Healthy:
-		load, ok := h.Load().Load()
+		load, ok := healthchecker.LoadOf(health)
 		if ok && load.Report(0).Slowdown() >= picker.SlowdownThreshold {
 			return Rejected{reason: "slow"}
 		}
@@ -127,17 +127,14 @@
 // record passes the result of a check on to the pool. A check that got no answer in its
 // short time does not show that the worker is down.
 func record(pool *limiter.Pool, worker *tracker.Worker, health healthchecker.Health) {
-	var reading healthchecker.LoadReading
-	switch h := health.(type) {
-	case healthchecker.Healthy:
-		reading = h.Load()
+	switch health.(type) {
 	case healthchecker.Unhealthy:
-		reading = h.Load()
 		worker.SetUnhealthy(true)
 	case healthchecker.WrongWorker:
 		pool.MarkLeaving(worker)
+	case healthchecker.Healthy, healthchecker.Unreachable:
 	}
-	if load, ok := reading.Load(); ok {
+	if load, ok := healthchecker.LoadOf(health); ok {
 		pool.RecordReport(worker, load.Report(pool.Now()))
 	}
 }
