Log why the keys were behind a revision that peers know

The logs could not tell whether a late change was a sum of waits for one source after another, a transfer that outgrew its timeout, or the time to apply it.

- 'configuration is in force' says for how long peers had named a later version, and how long it took from its delivery to its being in force.
- A failed fetch from a peer says how long it took.

No decision changes.

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -1,6 +1,8 @@
 package bootstrapper
 
 import (
+	"time"
+
 	"burdocklane/descriptor"
 	adapter "burdocklane/platform"
 	"burdocklane/publisher"
@@ -13,11 +15,12 @@
 // applyKeys applies the configuration and the list of the fleet from the keys of
 // the store.
 func (p *Process) applyKeys(usable []storer.Pair, stored storer.RangeResult) {
+	delivered := time.Now()
 	list, changed := p.directory.Parse(usable, stored.Revision())
 	p.registration.Observe(stored)
 	p.updateRelay(list, stored)
 	if changed != nil {
-		p.applyConfiguration(*changed, configurationValue(usable), p.follower.Source())
+		p.applyConfiguration(*changed, configurationValue(usable), p.follower.Source(), delivered)
 	}
 	p.publisher.PublishList(list)
 	if !p.hasList.Swap(true) {
@@ -28,17 +31,20 @@
 // applyConfiguration makes a configuration active unless it is older than the active
 // one, or the same: a store that has gone back to an older copy gives it out again. The
 // same revision with other content is active if it was written since the store went
-// back. The value, from which it was parsed, is served to peers from then on.
-func (p *Process) applyConfiguration(d descriptor.Deployment, value []byte, source string) {
+// back. The value, from which it was parsed, is served to peers from then on. The source
+// delivered it at the given time.
+func (p *Process) applyConfiguration(d descriptor.Deployment, value []byte, source string, delivered time.Time) {
 	p.applying.Lock()
 	defer p.applying.Unlock()
+	behind := p.fetcher.Behind()
 	err := p.publisher.PublishDeployment(d, source)
 	var notNewer *publisher.RevisionError
 	var otherContent *publisher.ContentError
 	switch {
 	case err == nil:
 		p.relay.PublishConfiguration(value)
-		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Msg("configuration is in force")
+		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).
+			Dur("applied-in", time.Since(delivered)).Dur("behind", behind).Msg("configuration is in force")
 	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
 	case errors.As(err, &otherContent):
 		p.log.Warn().Err(err).Str("source", source).Msg("another configuration of the active revision was ignored")
@@ -63,13 +69,14 @@
 // applyFetched makes the configuration of a peer active as applyConfiguration does, and
 // returns its version.
 func (p *Process) applyFetched(value []byte, source string) (descriptor.Revision, error) {
+	delivered := time.Now()
 	d, err := adapter.ParseConfiguration(value)
 	if err != nil {
 		return 0, err
 	}
 	// What the store itself holds at this revision replaces it: the era of the peer's read is unknown.
 	d = d.WithOrigin(descriptor.NewOrigin(unknownEra, value))
-	p.applyConfiguration(d, value, source)
+	p.applyConfiguration(d, value, source, delivered)
 	return d.Revision(), nil
 }
 
--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdocklane/descriptor"
@@ -64,15 +65,20 @@
 	until time.Time // No fetch is made from the peer before.
 }
 
+// lag is when peers first named a version later than the one that was in force.
+type lag struct {
+	inForce descriptor.Revision
+	since   time.Time
+}
+
 // Fetcher fetches later configurations from peers, one at a time.
 type Fetcher struct {
 	hooks      Hooks
 	grace      time.Duration
 	log        zerolog.Logger
 	claims     chan claim
-	failures   map[registrar.InstanceID]failure // Used by the run goroutine alone, as are the fields below.
-	behindAt   descriptor.Revision              // The version in force when peers first named a later one.
-	behind     time.Time
+	failures   map[registrar.InstanceID]failure // Used by the run goroutine alone.
+	lag        atomic.Pointer[lag]              // Or nil.
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 }
@@ -95,11 +101,25 @@
 	f.goroutines.Wait()
 }
 
-// Observe gets the version that a listed peer says it has in force. It does not block.
+// Behind returns for how long peers have named a later version than the one in force, or
+// 0 if none has.
+func (f *Fetcher) Behind() time.Duration {
+	if l := f.lag.Load(); l != nil && l.inForce == f.hooks.inForce() {
+		return time.Since(l.since)
+	}
+	return 0
+}
+
+// Observe gets the version that a listed peer says it has in force. It does not block,
+// and must not be called concurrently.
 func (f *Fetcher) Observe(peer registrar.Instance, version descriptor.Revision) {
-	if version <= f.hooks.inForce() {
+	have := f.hooks.inForce()
+	if version <= have {
 		return
 	}
+	if l := f.lag.Load(); l == nil || l.inForce != have {
+		f.lag.Store(&lag{inForce: have, since: time.Now()})
+	}
 	select {
 	case f.claims <- claim{peer: peer, version: version}:
 	default:
@@ -126,6 +146,7 @@
 	if !sleeper.Sleep(ctx, f.remainingGrace()) || c.version <= f.hooks.inForce() {
 		return
 	}
+	started := time.Now()
 	err := f.fetch(ctx, c)
 	if ctx.Err() != nil {
 		return
@@ -134,17 +155,12 @@
 		delete(f.failures, c.peer.ID())
 		return
 	}
-	f.recordFailure(c, err)
+	f.recordFailure(c, err, time.Since(started))
 }
 
 // remainingGrace returns what is left of the grace since peers first named a later
 // version than the one in force.
-func (f *Fetcher) remainingGrace() time.Duration {
-	if have := f.hooks.inForce(); f.behind.IsZero() || f.behindAt != have {
-		f.behind, f.behindAt = time.Now(), have
-	}
-	return f.grace - time.Since(f.behind)
-}
+func (f *Fetcher) remainingGrace() time.Duration { return f.grace - f.Behind() }
 
 // fetch puts the peer's configuration in force. It returns an error if that is not later
 // than the one in force.
@@ -164,10 +180,10 @@
 	return err
 }
 
-func (f *Fetcher) recordFailure(c claim, err error) {
+func (f *Fetcher) recordFailure(c claim, err error, took time.Duration) {
 	count := f.failures[c.peer.ID()].count
 	pause := sleeper.Backoff(baseBackoff, maxBackoff, count)
 	f.failures[c.peer.ID()] = failure{count: count + 1, until: time.Now().Add(pause)}
-	f.log.Info().Err(err).Str("source", "peer "+c.peer.PeerAddress()).Int64("revision", int64(c.version)).
+	f.log.Info().Err(err).Dur("took", took).Str("source", "peer "+c.peer.PeerAddress()).Int64("revision", int64(c.version)).
 		Msg("later configuration could not be fetched from a peer")
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -57,7 +57,8 @@
 	lastContact   atomic.Int64
 	knownRevision storer.RevisionMark // The store's revision that the replica has reached.
 	peerRevision  storer.RevisionMark // The latest revision that a peer or a probe has reported.
-	lostAt        atomic.Int64        // When the store became unreachable for this instance, or 0.
+	catchUp       catchUp
+	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
 	direct        atomic.Bool   // The keys are read from the store itself, not from a relay.
 	source        atomic.Value  // The name of the store or relay that the keys were last read from.
@@ -141,6 +142,7 @@
 		return
 	}
 	f.peerRevision.Advance(revision)
+	f.catchUp.begin(revision, f.now())
 	w := f.activeWatch.Load()
 	if w == nil {
 		select {
@@ -227,10 +229,11 @@
 func (f *Follower) follow(ctx context.Context, store storer.Store, relayed bool) error {
 	started := time.Now()
 	result, err := storer.Range(ctx, store, f.prefix)
+	f.readTime = time.Since(started)
+	f.catchUp.record(storer.Name(store), f.readTime, readOutcome(err))
 	if err != nil {
 		return err
 	}
-	f.readTime = time.Since(started)
 	if have := f.knownRevision.Load(); result.Revision().Before(have) {
 		return &StaleReadError{have: have, read: result.Revision()}
 	}
@@ -241,7 +244,7 @@
 	}
 	f.direct.Store(!relayed)
 	f.source.Store(storer.Name(store))
-	f.knownRevision.Advance(result.Revision())
+	f.advance(result.Revision())
 	f.replica.Replace(result.Pairs())
 	f.replica.Expire(time.Now())
 	f.publish()
@@ -283,7 +286,7 @@
 
 func (f *Follower) applyBatch(b storer.Batch) {
 	f.lastContact.Store(int64(f.now()))
-	f.knownRevision.Advance(b.Revision())
+	f.advance(b.Revision())
 	if f.replica.Apply(b.Events()) {
 		f.publish()
 	}
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -66,11 +67,11 @@
 }
 
 func (f *Follower) newActiveWatch(relayed bool, end context.CancelCauseFunc) *activeWatch {
-	catchUpTimeout := f.relays.catchUpTimeout
-	if catchUpTimeout == 0 {
-		catchUpTimeout = defaultCatchUpTimeout
-	}
-	return &activeWatch{relayed: relayed, catchUpTimeout: catchUpTimeout, end: end}
+	return &activeWatch{relayed: relayed, catchUpTimeout: f.catchUpTimeout(), end: end}
+}
+
+func (f *Follower) catchUpTimeout() time.Duration {
+	return cmp.Or(f.relays.catchUpTimeout, defaultCatchUpTimeout)
 }
 
 // StalledWatchError reports a watch that does not deliver a revision that peers
