--- /dev/null
+++ b/follower/sources_test.go
@@ -0,0 +1,173 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"burdocklane/follower"
+	"burdocklane/storer"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// changeTime is the users' bound on the time until a change is in force.
+	changeTime = 3 * time.Second
+	// watchTime is how long a watch may take to deliver a revision that peers know.
+	watchTime = 900 * time.Millisecond
+	// relayTimeout and storeTimeout are how long a read waits for a relay, and for the store.
+	relayTimeout = 2 * time.Second
+	storeTimeout = 800 * time.Millisecond
+)
+
+// behaviour is what a source does with a read.
+type behaviour int
+
+const (
+	serves   behaviour = iota // It answers on a slow link.
+	refuses                   // It waits for a while and then refuses.
+	isSilent                  // It does not answer.
+	lags                      // It answers with old keys.
+)
+
+// source is a source of the keys at a revision that may be later than the old one.
+func (b behaviour) source(name string, timeout time.Duration, latest storer.Revision) storer.Store {
+	read := func(ctx context.Context, _ string) (storer.RangeResult, error) {
+		switch b {
+		case serves:
+			time.Sleep(200 * time.Millisecond)
+			return storer.NewRangeResult(nil, latest), nil
+		case refuses:
+			time.Sleep(300 * time.Millisecond)
+			return storer.RangeResult{}, storer.NewStatusError(name, 503, "")
+		case lags:
+			time.Sleep(200 * time.Millisecond)
+			return storer.NewRangeResult(nil, revision(90)), nil
+		}
+		select {
+		case <-ctx.Done():
+			return storer.RangeResult{}, ctx.Err()
+		case <-time.After(timeout):
+			return storer.RangeResult{}, errors.New("timeout")
+		}
+	}
+	poll := func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+		return storer.Batch{}, blockUntilDone(ctx)
+	}
+	return storer.NewRemote(storer.WithName(name), storer.WithRange(read), storer.WithPoll(poll, 0))
+}
+
+// Guards against a sum of waits for one source after another, by which a change that
+// peers know comes into force too late.
+func TestRevisionIsReachedInTimeWhicheverSourcesFail(t *testing.T) {
+	tests := []struct {
+		name      string
+		relays    []behaviour
+		store     behaviour
+		fallbacks []behaviour
+	}{
+		{"the relay recovers", []behaviour{serves}, serves, nil},
+		{"relays refuse", []behaviour{refuses, refuses}, serves, nil},
+		{"relays are silent", []behaviour{isSilent, isSilent}, serves, nil},
+		{"relays lag", []behaviour{lags, lags}, serves, nil},
+		{"relays and the store refuse", []behaviour{refuses, refuses}, refuses, []behaviour{serves}},
+		{"relays refuse and the store is silent", []behaviour{refuses, refuses}, isSilent, []behaviour{refuses, refuses, serves}},
+		{"one relay is silent", []behaviour{isSilent, serves}, isSilent, nil},
+		{"all but the last one refuse", []behaviour{refuses, refuses}, refuses, []behaviour{refuses, refuses, serves}},
+		{"all but the last one are silent", []behaviour{isSilent, isSilent}, isSilent, []behaviour{isSilent, isSilent, serves}},
+		{"all but the last one lag", []behaviour{lags, lags}, lags, []behaviour{lags, lags, serves}},
+		{"all kinds of failures", []behaviour{isSilent, refuses}, isSilent, []behaviour{lags, refuses, serves}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				latest := revision(150)
+				first := &firstSource{Store: serves.source("relay", relayTimeout, revision(100))}
+				relays, fallbacks := newSources(test.relays, relayTimeout, latest), newSources(test.fallbacks, relayTimeout, latest)
+				reached := make(chan time.Time, 1)
+				onChange := func(_ []storer.Pair, stored storer.RangeResult) {
+					if stored.Revision() == latest {
+						reached <- time.Now()
+					}
+				}
+				f := follower.New(test.store.source("store", storeTimeout, latest), "", onChange, zerolog.Nop(),
+					follower.WithRelays(relaysOf(first, relays, fallbacks)))
+				f.Start()
+				time.Sleep(changeTime)
+				named := time.Now()
+				var peers sync.WaitGroup
+				peers.Go(func() { peersKnow(f, latest, changeTime) })
+				select {
+				case at := <-reached:
+					c.Check(at.Sub(named) <= changeTime, qt.IsTrue, qt.Commentf("reached after %s", at.Sub(named)))
+				case <-time.After(4 * changeTime):
+					c.Error("not reached")
+				}
+				peers.Wait()
+				f.Close()
+			})
+		})
+	}
+}
+
+// firstSource is the relay that is read from before the test begins.
+type firstSource struct {
+	storer.Store
+	used bool
+}
+
+func newSources(behaviours []behaviour, timeout time.Duration, latest storer.Revision) []storer.Store {
+	sources := make([]storer.Store, 0, len(behaviours))
+	for _, b := range behaviours {
+		sources = append(sources, b.source("relay", timeout, latest))
+	}
+	return sources
+}
+
+// relaysOf returns the relays and fallbacks. Each is used until it fails.
+func relaysOf(first *firstSource, relays, fallbacks []storer.Store) follower.Relays {
+	nextRelay, nextFallback := 0, 0
+	fromFallbacks := false
+	next := func() (storer.Store, bool) {
+		fromFallbacks = false
+		if !first.used {
+			return first.Store, true
+		}
+		if nextRelay == len(relays) {
+			return nil, false
+		}
+		return relays[nextRelay], true
+	}
+	fallback := func() (storer.Store, bool) {
+		fromFallbacks = true
+		if nextFallback == len(fallbacks) {
+			return nil, false
+		}
+		return fallbacks[nextFallback], true
+	}
+	fail := func() {
+		switch {
+		case !first.used:
+			first.used = true
+		case fromFallbacks:
+			nextFallback++
+		default:
+			nextRelay++
+		}
+	}
+	return follower.NewRelays(func() bool { return true }, next, fail, watchTime).WithFallback(fallback)
+}
+
+// peersKnow repeats a revision, as the datagrams of peers do.
+func peersKnow(f *follower.Follower, latest storer.Revision, during time.Duration) {
+	for range during / (100 * time.Millisecond) {
+		f.NotifyRevision(latest)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
