Bound transfers between processes by their progress, not by a fixed time

Cause: a read of the store had 0.8 s, a relay's answer 1.2 to 2 s, a peer's copy 0.5 s for the whole transfer, whatever its size. By the incident's record a relay reads 950 KB for a change of one route; a link of 10 Mbit/s alone takes 0.76 s. A zone's readers share the link of their relay, and all of them outlast the timeout at the same time, give up and begin again. A peer's copy was not compressed, and a probe of the store ended the watch whose transfer kept its answer back.

Change: timekeeper gives a response a time to begin, and then a longest pause. Copies of the configuration are compressed, once for all readers. While a watch receives, a probe without an answer does not end it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -12,6 +12,7 @@
 	"burdocklane/recoverer"
 	"burdocklane/sleeper"
 	"burdocklane/storer"
+	"burdocklane/timekeeper"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
@@ -46,7 +47,7 @@
 
 // Follower keeps a replica of the keys with a prefix up to date.
 type Follower struct {
-	started       time.Time // lastContact and lostAt are durations since this time.
+	started       time.Time // lastContact, lastReceived and lostAt are durations since this time.
 	store         storer.Store
 	prefix        string
 	onChange      func(usable []storer.Pair, stored storer.RangeResult)
@@ -55,6 +56,7 @@
 	onLost        func()
 	log           zerolog.Logger
 	lastContact   atomic.Int64
+	lastReceived  atomic.Int64        // When the last part of a response to a watch arrived, or 0.
 	knownRevision storer.RevisionMark // The store's revision that the replica has reached.
 	peerRevision  storer.RevisionMark // The latest revision that a peer or a probe has reported.
 	catchUp       catchUp
@@ -270,7 +272,8 @@
 		f.done.Go(func() { f.endWhenProbeFails(watchCtx, end, readTime) })
 	}
 	f.activeWatch.Store(f.newActiveWatch(relayed, end))
-	err := storer.Watch(watchCtx, store, f.prefix, revision, f.applyBatch)
+	observedCtx := timekeeper.WithObserver(watchCtx, func() { f.lastReceived.Store(int64(f.now())) })
+	err := storer.Watch(observedCtx, store, f.prefix, revision, f.applyBatch)
 	f.activeWatch.Store(nil)
 	if watchCtx.Err() == nil {
 		return err
--- a/follower/probe.go
+++ b/follower/probe.go
@@ -54,6 +54,9 @@
 			f.NotifyRevision(revision)
 			continue
 		}
+		if f.isReceiving(timeout) {
+			continue // The answer to the probe waits behind the transfer.
+		}
 		if refused++; !isAnswer(err) || refused >= maxRefusedProbes {
 			end(&ProbeError{cause: err})
 			return
@@ -61,6 +64,13 @@
 	}
 }
 
+// isReceiving reports whether a part of a change has arrived at the watch within the given
+// time.
+func (f *Follower) isReceiving(within time.Duration) bool {
+	last := time.Duration(f.lastReceived.Load())
+	return last > 0 && f.now()-last < within
+}
+
 // isAnswer reports whether a failed probe got an answer: a refusal, or one of a replica
 // of the store that lags.
 func isAnswer(err error) bool {
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdocklane/follower"
 	"burdocklane/sleeper"
 	"burdocklane/storer"
+	"burdocklane/timekeeper"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
@@ -202,3 +205,64 @@
 		})
 	}
 }
+
+// slowBody is a body of parts that arrive one after another.
+type slowBody struct{ parts int }
+
+const partInterval = 200 * time.Millisecond
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.parts == 0 {
+		return 0, io.EOF
+	}
+	b.parts--
+	time.Sleep(partInterval)
+	return copy(p, "part"), nil
+}
+
+// Guards against a watch that is ended while a long change arrives over a thin link,
+// which keeps the answers to probes back.
+func TestProbeDoesNotEndATransfer(t *testing.T) {
+	tests := []struct {
+		name  string
+		parts int // Of the change that the watch delivers.
+		reads int64
+	}{
+		{"a change arrives", 20, 1},
+		{"nothing arrives", 0, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var reads atomic.Int64
+				polls := 0
+				store := storer.NewRemote(
+					storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+						return storer.NewRangeResult(nil, revision(reads.Add(1)*100)), nil
+					}),
+					storer.WithPoll(func(ctx context.Context, _ string, after storer.Revision) (storer.Batch, error) {
+						if polls++; polls > 1 || test.parts == 0 {
+							return storer.Batch{}, blockUntilDone(ctx)
+						}
+						exchange := timekeeper.New(ctx, time.Second, time.Second)
+						defer exchange.Close()
+						_, err := exchange.ReadBody(&slowBody{parts: test.parts}, 1000)
+						return storer.NewBatch(nil, revision(150)), err
+					}, 0),
+					storer.WithProbe(func(ctx context.Context) (storer.Revision, error) {
+						if polls > 1 {
+							return revision(reads.Load() * 100), nil
+						}
+						return storer.Revision{}, blockUntilDone(ctx)
+					}))
+				f := follower.New(store, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop())
+				f.Start()
+				time.Sleep(time.Duration(test.parts)*partInterval + 1500*time.Millisecond)
+				c.Check(reads.Load(), qt.Equals, test.reads)
+				f.Close()
+			})
+		})
+	}
+}
--- a/relayer/configuration.go
+++ b/relayer/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 
 	"burdocklane/storer"
 )
@@ -13,19 +14,20 @@
 // PublishConfiguration publishes the value of the configuration in force, a JSON
 // document with its version, which this instance serves to its peers whether or not it
 // is a relay.
-func (r *Relay) PublishConfiguration(value []byte) { r.active.Store(&value) }
+func (r *Relay) PublishConfiguration(value []byte) {
+	encode := sync.OnceValue(func() *encoding { return encodingOf(value) })
+	r.active.Store(&encode)
+}
 
 // serveConfiguration responds with the configuration in force, as it was read from the
 // store.
-func (r *Relay) serveConfiguration(w http.ResponseWriter, _ *http.Request) {
-	value := r.active.Load()
-	if value == nil {
+func (r *Relay) serveConfiguration(w http.ResponseWriter, request *http.Request) {
+	encode := r.active.Load()
+	if encode == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	relayedResponses.Inc()
-	w.Header().Set("Content-Type", "application/json")
-	w.Write(*value) //nolint:errcheck // The client fails to decode a truncated response.
+	(*encode)().write(w, request)
 }
 
 // ConfigurationClient fetches the configurations that peers have in force.
--- a/relayer/encode.go
+++ b/relayer/encode.go
@@ -31,6 +31,11 @@
 	if err != nil {
 		return &encoding{plain: []byte("null")}
 	}
+	return encodingOf(plain)
+}
+
+// encodingOf returns the encoding of a message that is a JSON document already.
+func encodingOf(plain []byte) *encoding {
 	e := &encoding{plain: plain}
 	if len(plain) >= compressionThreshold {
 		e.compressed = compress(plain)
--- a/relayer/large_test.go
+++ b/relayer/large_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -37,14 +38,14 @@
 	tests := []struct {
 		name  string
 		first storer.RangeResult // What the relay has when the readers come.
-		read  func(ctx context.Context, address string) error
+		read  func(ctx context.Context, client *http.Client, address string) error
 	}{
-		{"all keys", all, func(ctx context.Context, address string) error {
-			_, err := storer.Range(ctx, newSource(newClient(), address, known(2), func(string) {}), "")
+		{"all keys", all, func(ctx context.Context, client *http.Client, address string) error {
+			_, err := storer.Range(ctx, newSource(client, address, known(2), func(string) {}), "")
 			return err
 		}},
-		{"changes", before, func(ctx context.Context, address string) error {
-			store := newSource(newClient(), address, known(2), func(string) {})
+		{"changes", before, func(ctx context.Context, client *http.Client, address string) error {
+			store := newSource(client, address, known(2), func(string) {})
 			result, err := storer.Range(ctx, store, "")
 			if err != nil {
 				return err
@@ -62,8 +63,8 @@
 			}
 			return err
 		}},
-		{"a peer's copy of the configuration", all, func(ctx context.Context, address string) error {
-			got, err := NewConfigurationClient().Fetch(ctx, address)
+		{"a peer's copy of the configuration", all, func(ctx context.Context, client *http.Client, address string) error {
+			got, err := (&ConfigurationClient{client: client}).Fetch(ctx, address)
 			if err == nil && len(got) != len(value) {
 				return fmt.Errorf("%d bytes of %d", len(got), len(value))
 			}
@@ -86,7 +87,11 @@
 			defer cancel()
 			var reading sync.WaitGroup
 			for range zoneReaders {
-				reading.Go(func() { c.Check(test.read(ctx, link.Address()), qt.IsNil) })
+				reading.Go(func() {
+					client := newClient()
+					defer client.CloseIdleConnections()
+					c.Check(test.read(ctx, client, link.Address()), qt.IsNil)
+				})
 			}
 			time.Sleep(changeTime / 15) // All readers wait for a change.
 			relay.Publish(all)
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -56,8 +56,8 @@
 	followsStore func() bool // Reports whether this instance follows the store itself and reaches it.
 	serving      atomic.Bool
 	keys         atomic.Pointer[snapshot]
-	enroll       Enroll                 // Or nil.
-	active       atomic.Pointer[[]byte] // The value of the configuration in force, or nil.
+	enroll       Enroll                           // Or nil.
+	active       atomic.Pointer[func() *encoding] // The configuration in force, or nil.
 	address      string
 	server       *http.Server
 	ctx          context.Context
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -8,18 +8,21 @@
 	"strconv"
 	"time"
 
-	"burdocklane/holder"
 	"burdocklane/storer"
+	"burdocklane/timekeeper"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// responseTimeout is how long a relay may take to respond beyond the time that it
-	// holds the request.
+	// responseTimeout is how long a relay may take to begin its response beyond the time
+	// that it holds the request.
 	responseTimeout = 500 * time.Millisecond
-	// firstReadTimeout is how long a relay may take to deliver all keys to an instance
-	// that knows none yet.
+	// stallTimeout is how long a response may stand still: all instances of a zone may
+	// read at once over the relay's link.
+	stallTimeout = 800 * time.Millisecond
+	// firstReadTimeout is how long a relay may take to begin to deliver all keys to an
+	// instance that knows none yet.
 	firstReadTimeout = 1200 * time.Millisecond
 	// maxResponseBytes bounds a message with all keys.
 	maxResponseBytes = 16 << 20
@@ -83,15 +86,15 @@
 }
 
 func (s *source) get(ctx context.Context, path string, query url.Values, serverWait time.Duration, message any) error {
-	ctx, cancel := context.WithTimeout(ctx, serverWait+responseTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+path+"?"+query.Encode(), nil)
+	exchange := timekeeper.New(ctx, serverWait+responseTimeout, stallTimeout)
+	defer exchange.Close()
+	request, err := http.NewRequestWithContext(exchange.Context(), http.MethodGet, s.base+path+"?"+query.Encode(), nil)
 	if err != nil {
 		return errors.Wrap(err, "relay")
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		return errors.Wrap(err, "relay")
+		return errors.Wrap(exchange.Reason(err), "relay")
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusGone {
@@ -100,7 +103,7 @@
 	if response.StatusCode != http.StatusOK {
 		return storer.NewStatusError("relay", response.StatusCode, "")
 	}
-	data, err := holder.ReadLimited(response.Body, s.maxBytes)
+	data, err := exchange.ReadBody(response.Body, s.maxBytes)
 	if err != nil {
 		return errors.Wrap(err, "relay")
 	}
