Read the keys from several sources, and take the first answer

Cause: relays, the store and peers of other zones were read one after another, each with a timeout of its own. The time for a change is a bound on the whole chain, but nothing held the sum to it: relays refuse after 0.3 s or stay silent for 2 s, the store for 0.8 s. For the list of workers there is no other way in.

Change: hedger asks the next source when one fails, or when none has begun its answer for 0.35 s; while a revision that peers know is missing, for a share of what is left of one deadline for all of them. A source whose answer is arriving is waited for, so that thin links do not carry it twice. The selector lists its relays, and each failure is reported for the source that failed.

Before, by a fake clock: reached 3.1, 3.1, 4.7, 5.1 and 9.9 s after peers named the revision. After: all 11 rows of TestRevisionIsReachedInTimeWhicheverSourcesFail are within 3 s. hedger: TestDo.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -176,8 +176,8 @@
 		return err
 	}
 	catchUpTimeout := time.Duration(relayTimeoutRatio * float64(p.settings.MaxChangeDelay()))
-	relays := follower.NewRelays(p.selector.UsesRelays, p.selector.Next, p.selector.ReportFailure, catchUpTimeout).
-		WithFallback(p.selector.NextFallback)
+	relays := follower.NewRelays(p.selector.UsesRelays, p.selector.Relays, p.selector.ReportFailure, catchUpTimeout).
+		WithFallbacks(p.selector.Fallbacks)
 	d := &discovery{self: p.self(), selector: p.selector, register: p.registration.Register}
 	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck),
 		follower.WithDiscovery(follower.NewDiscovery(zonePrefix, d.firstSource)))
--- a/follower/catchup.go
+++ b/follower/catchup.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"burdocklane/storer"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 )
 
 // maxLoggedAttempts is how many reads of a catch-up are named in its log line.
@@ -37,6 +39,13 @@
 	}
 }
 
+// pending returns since when a revision that peers have named is missing, if one is.
+func (c *catchUp) pending() (since time.Duration, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.since, !c.target.IsZero()
+}
+
 // record records a read: its source, how long it took and its outcome.
 func (c *catchUp) record(source string, took time.Duration, outcome string) {
 	c.mutex.Lock()
@@ -91,5 +100,8 @@
 	if err == nil {
 		return "read"
 	}
+	if errors.Is(err, context.Canceled) {
+		return "not awaited"
+	}
 	return failureReason(err)
 }
--- a/follower/catchup_test.go
+++ b/follower/catchup_test.go
@@ -47,10 +47,10 @@
 				s := &scriptedStore{poll: func(ctx context.Context, _ int64) (storer.Batch, error) { return storer.Batch{}, blockUntilDone(ctx) }}
 				s.reads.Store(1)
 				failures := 0
-				next := func() (storer.Store, bool) { return relay, failures < 2 }
+				available := func() []storer.Store { return []storer.Store{relay}[min(failures/2, 1):] }
 				var log bytes.Buffer
 				f := follower.New(s.store(), "", func([]storer.Pair, storer.RangeResult) {}, zerolog.New(&log),
-					follower.WithRelays(follower.NewRelays(func() bool { return true }, next, func() { failures++ }, 900*time.Millisecond)))
+					follower.WithRelays(follower.NewRelays(func() bool { return true }, available, func(storer.Store) { failures++ }, 900*time.Millisecond)))
 				f.Start()
 				synctest.Wait()
 				f.NotifyRevision(revision(test.known))
--- a/follower/discovery.go
+++ b/follower/discovery.go
@@ -75,7 +75,7 @@
 		}
 		switch source := f.discovery.choose(listed.Pairs(), f.now()).(type) {
 		case FromRelays:
-			if f.followFirst(ctx, source.relays) {
+			if f.followFirstRelay(ctx, source.relays) {
 				return
 			}
 			continue
@@ -90,13 +90,13 @@
 	}
 }
 
-// followFirst follows the first of the relays that serves, and reports whether one did or
+// followFirstRelay follows the first of the relays that serves, and reports whether one did or
 // the context has ended. They may be starting too, so that each is tried repeatedly, but
 // only for discoveryInterval: the list may name another relay by then.
-func (f *Follower) followFirst(ctx context.Context, relays []storer.Store) bool {
+func (f *Follower) followFirstRelay(ctx context.Context, relays []storer.Store) bool {
 	for until := f.now() + discoveryInterval; f.now() < until; {
 		for _, relay := range relays {
-			err := f.follow(ctx, relay, true)
+			err := f.followRelay(ctx, relay)
 			if f.lastContact.Load() != 0 || ctx.Err() != nil {
 				return true
 			}
@@ -108,3 +108,13 @@
 	}
 	return false
 }
+
+// followRelay reads the keys from a relay and watches them until the watch breaks.
+func (f *Follower) followRelay(ctx context.Context, relay storer.Store) error {
+	read, err := f.read(ctx, relay)
+	if err != nil {
+		return err
+	}
+	f.adopt(relay, read, true)
+	return f.watchKeys(ctx, relay, read.result.Revision(), true)
+}
--- a/follower/fallback_test.go
+++ b/follower/fallback_test.go
@@ -23,14 +23,8 @@
 		return storer.Batch{}, errors.New("connection reset")
 	}
 	var next atomic.Int64
-	relays := follower.NewRelays(func() bool { return false }, func() (storer.Store, bool) { return nil, false }, func() { next.Add(1) }, time.Millisecond).
-		WithFallback(func() (storer.Store, bool) {
-			n := int(next.Load())
-			if n >= len(fallbacks) {
-				return nil, false
-			}
-			return fallbacks[n], true
-		})
+	relays := follower.NewRelays(func() bool { return false }, noRelay, func(storer.Store) { next.Add(1) }, time.Millisecond).
+		WithFallbacks(func() []storer.Store { return fallbacks[min(int(next.Load()), len(fallbacks)):] })
 	seen = make(chan int64, 64)
 	f = follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision().Number() }, zerolog.Nop(), follower.WithRelays(relays))
 	f.Start()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -168,7 +168,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		lastContact := f.lastContact.Load()
-		err := f.followSources(ctx)
+		err := f.followFirst(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -179,9 +179,7 @@
 			continue
 		}
 		failures++
-		if !f.followFallback(ctx) {
-			f.backOff(ctx, sleeper.Backoff(baseBackoff, f.backoffLimit(), failures))
-		}
+		f.backOff(ctx, sleeper.Backoff(baseBackoff, f.backoffLimit(), failures))
 	}
 }
 
@@ -192,13 +190,13 @@
 	return maxBackoff
 }
 
-// followSources reads from relays as long as one serves, and then from the store
-// itself.
-func (f *Follower) followSources(ctx context.Context) (err error) {
+// followFirst follows the first source that serves. The error is that of the store.
+func (f *Follower) followFirst(ctx context.Context) (err error) {
 	panicked := recoverer.Do(f.log, "follow of the keys", func() {
-		f.followRelays(ctx)
-		if err = ctx.Err(); err == nil {
-			err = f.follow(ctx, f.store, false)
+		var first source
+		var read keysRead
+		if first, read, err = f.readFirst(ctx); err == nil {
+			err = f.followSource(ctx, first, read)
 		}
 	})
 	if panicked != nil {
@@ -207,6 +205,26 @@
 	return err
 }
 
+// followSource adopts a read and watches its source until the watch breaks. A relay or
+// fallback that failed is not an error: the others are tried.
+func (f *Follower) followSource(ctx context.Context, from source, read keysRead) error {
+	switch s := from.(type) {
+	case relaySource:
+		f.adopt(s.store, read, true)
+		f.reportFailure(s, f.watchKeys(ctx, s.store, read.result.Revision(), true))
+	case fallbackSource:
+		f.adopt(s.store, read, true)
+		f.reportFailure(s, f.watchUntilStoreServes(ctx, s.store, read.result.Revision()))
+	case storeSource:
+		f.adopt(s.store, read, false)
+		if f.waitForRelay(ctx) {
+			return nil
+		}
+		return f.watchKeys(ctx, s.store, read.result.Revision(), false)
+	}
+	return nil
+}
+
 // backOff waits before the next try. An update from a peer that reaches the store
 // ends the wait early, at most once per minWakeInterval: the store may be
 // reachable again.
@@ -225,38 +243,25 @@
 	}
 }
 
-// follow reads the keys and watches them until the watch breaks. It returns nil
-// when the keys are to be read again: the retention of missing keys or the maximum
-// watch duration is over, or a relay is available to read from.
-func (f *Follower) follow(ctx context.Context, store storer.Store, relayed bool) error {
-	started := time.Now()
-	result, err := storer.Range(ctx, store, f.prefix)
-	f.readTime = time.Since(started)
-	f.catchUp.record(storer.Name(store), f.readTime, readOutcome(err))
-	if err != nil {
-		return err
-	}
-	if have := f.knownRevision.Load(); result.Revision().Before(have) {
-		return &StaleReadError{have: have, read: result.Revision()}
-	}
+// adopt replaces the keys by those that were read from a source.
+func (f *Follower) adopt(store storer.Store, read keysRead, relayed bool) {
+	f.readTime = read.took
 	f.recordRead(storer.Name(store))
-	f.recordEra(result.Revision())
-	if result.IsRecovering() {
+	f.recordEra(read.result.Revision())
+	if read.result.IsRecovering() {
 		f.retainMissingKeys()
 	}
 	f.direct.Store(!relayed)
 	f.source.Store(storer.Name(store))
-	f.advance(result.Revision())
-	f.replica.Replace(result.Pairs())
+	f.advance(read.result.Revision())
+	f.replica.Replace(read.result.Pairs())
 	f.replica.Expire(time.Now())
 	f.publish()
-	if !relayed && f.waitForRelay(ctx) {
-		return nil
-	}
-	return f.watchKeys(ctx, store, result.Revision(), relayed)
 }
 
-// watchKeys watches the keys after a revision.
+// watchKeys watches the keys after a revision until the watch breaks. It returns nil when
+// the keys are to be read again: the retention of missing keys or the maximum watch
+// duration is over, or a relay is available to read from.
 func (f *Follower) watchKeys(ctx context.Context, store storer.Store, revision storer.Revision, relayed bool) error {
 	deadline, ok := f.replica.RetentionDeadline()
 	if !ok {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -105,6 +105,18 @@
 		}, 0))
 }
 
+func noRelay() []storer.Store { return nil }
+
+// untilFailed returns the relays that are available: one, until it has failed.
+func untilFailed(relay storer.Store, failed *atomic.Bool) func() []storer.Store {
+	return func() []storer.Store {
+		if failed.Load() {
+			return nil
+		}
+		return []storer.Store{relay}
+	}
+}
+
 func blockUntilDone(ctx context.Context) error {
 	<-ctx.Done()
 	return ctx.Err()
@@ -129,10 +141,15 @@
 			c := qt.New(t)
 			s := &scriptedStore{poll: func(ctx context.Context, _ int64) (storer.Batch, error) { return storer.Batch{}, blockUntilDone(ctx) }}
 			var failed atomic.Bool
-			nextRelay := func() (storer.Store, bool) { return test.relay, test.relay != nil && !failed.Load() }
+			available := func() []storer.Store {
+				if test.relay == nil || failed.Load() {
+					return nil
+				}
+				return []storer.Store{test.relay}
+			}
 			seen := make(chan storer.Revision, 8)
 			f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision() }, zerolog.Nop(),
-				follower.WithRelays(follower.NewRelays(func() bool { return true }, nextRelay, func() { failed.Store(true) }, time.Millisecond)))
+				follower.WithRelays(follower.NewRelays(func() bool { return true }, available, func(storer.Store) { failed.Store(true) }, time.Millisecond)))
 			f.Start()
 			defer f.Close()
 			for {
@@ -170,10 +187,9 @@
 	}
 	lagging := fakeRelay(50, blockUntilDone)
 	var failed atomic.Bool
-	nextRelay := func() (storer.Store, bool) { return lagging, !failed.Load() }
 	seen := make(chan storer.Revision, 8)
 	f := follower.New(s.store(), "", func(_ []storer.Pair, stored storer.RangeResult) { seen <- stored.Revision() }, zerolog.Nop(),
-		follower.WithRelays(follower.NewRelays(enabled.Load, nextRelay, func() { failed.Store(true) }, time.Second)))
+		follower.WithRelays(follower.NewRelays(enabled.Load, untilFailed(lagging, &failed), func(storer.Store) { failed.Store(true) }, time.Second)))
 	f.Start()
 	defer f.Close()
 	c.Assert(<-seen, qt.Equals, revision(100))
@@ -224,7 +240,7 @@
 				c.Check(stored.Pairs(), qt.HasLen, 1)
 				close(ready)
 			}, zerolog.Nop(), follower.WithRelays(follower.NewRelays(func() bool { return true },
-				func() (storer.Store, bool) { return relay, true }, func() {}, time.Second)))
+				func() []storer.Store { return []storer.Store{relay} }, func(storer.Store) {}, time.Second)))
 			f.Start()
 			defer f.Close()
 			<-ready
--- a/follower/probe_test.go
+++ b/follower/probe_test.go
@@ -62,7 +62,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := &probedStore{probe: test.probe}
-			relays := follower.NewRelays(func() bool { return false }, func() (storer.Store, bool) { return nil, false }, func() {}, time.Millisecond)
+			relays := follower.NewRelays(func() bool { return false }, noRelay, func(storer.Store) {}, time.Millisecond)
 			f := follower.New(s.store(), "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(), follower.WithRelays(relays))
 			f.Start()
 			defer f.Close()
@@ -236,14 +236,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				var reads atomic.Int64
-				polls := 0
+				var reads, polls atomic.Int64
 				store := storer.NewRemote(
 					storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
 						return storer.NewRangeResult(nil, revision(reads.Add(1)*100)), nil
 					}),
-					storer.WithPoll(func(ctx context.Context, _ string, after storer.Revision) (storer.Batch, error) {
-						if polls++; polls > 1 || test.parts == 0 {
+					storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+						if polls.Add(1) > 1 || test.parts == 0 {
 							return storer.Batch{}, blockUntilDone(ctx)
 						}
 						exchange := timekeeper.New(ctx, time.Second, time.Second)
@@ -252,7 +251,7 @@
 						return storer.NewBatch(nil, revision(150)), err
 					}, 0),
 					storer.WithProbe(func(ctx context.Context) (storer.Revision, error) {
-						if polls > 1 {
+						if polls.Load() > 1 {
 							return revision(reads.Load() * 100), nil
 						}
 						return storer.Revision{}, blockUntilDone(ctx)
--- a/follower/relays.go
+++ b/follower/relays.go
@@ -26,36 +26,36 @@
 // Relays gives access to the peers that serve a copy of the store's keys.
 type Relays struct {
 	enabled        func() bool
-	next           func() (storer.Store, bool)
-	nextFallback   func() (storer.Store, bool)
-	reportFailure  func()
+	available      func() []storer.Store
+	fallbacks      func() []storer.Store
+	reportFailure  func(storer.Store)
 	catchUpTimeout time.Duration
 }
 
 // NewRelays returns relays: enabled reports whether this instance is to read from
-// relays, next returns a live one, and reportFailure is called when the last one
-// did not serve. A watch, of a relay or of the store, may take catchUpTimeout to
-// deliver a revision that other peers know.
-func NewRelays(enabled func() bool, next func() (storer.Store, bool), reportFailure func(), catchUpTimeout time.Duration) Relays {
-	return Relays{enabled: enabled, next: next, nextFallback: noRelay, reportFailure: reportFailure, catchUpTimeout: catchUpTimeout}
+// relays, available returns the live ones in order of preference, and reportFailure is
+// called with one that did not serve. A watch, of a relay or of the store, may take
+// catchUpTimeout to deliver a revision that other peers know.
+func NewRelays(enabled func() bool, available func() []storer.Store, reportFailure func(storer.Store), catchUpTimeout time.Duration) Relays {
+	return Relays{enabled: enabled, available: available, fallbacks: noRelays, reportFailure: reportFailure, catchUpTimeout: catchUpTimeout}
 }
 
-// WithFallback returns a copy of r with a function that returns a peer to read from
+// WithFallbacks returns a copy of r with a function that returns the peers to read from
 // while the store does not serve this instance.
-func (r Relays) WithFallback(next func() (storer.Store, bool)) Relays {
-	r.nextFallback = next
+func (r Relays) WithFallbacks(fallbacks func() []storer.Store) Relays {
+	r.fallbacks = fallbacks
 	return r
 }
 
-func noRelay() (storer.Store, bool) { return nil, false }
+func noRelays() []storer.Store { return nil }
 
 // NoRelays returns relays that are never available.
 func NoRelays() Relays {
 	return Relays{
 		enabled:       func() bool { return false },
-		next:          noRelay,
-		nextFallback:  noRelay,
-		reportFailure: func() {},
+		available:     noRelays,
+		fallbacks:     noRelays,
+		reportFailure: func(storer.Store) {},
 	}
 }
 
@@ -97,30 +97,12 @@
 	return fmt.Sprintf("keys were read at revision %s, older than the known revision %s", e.read, e.have)
 }
 
-// availableRelay returns the relay to read from, if this instance uses relays and
-// one is available.
-func (f *Follower) availableRelay() (storer.Store, bool) {
+// availableRelays returns the relays to read from, if this instance uses relays.
+func (f *Follower) availableRelays() []storer.Store {
 	if !f.relays.enabled() {
-		return nil, false
-	}
-	return f.relays.next()
-}
-
-// followRelays reads from one relay after another until none is available.
-func (f *Follower) followRelays(ctx context.Context) {
-	for ctx.Err() == nil {
-		relay, ok := f.availableRelay()
-		if !ok {
-			return
-		}
-		err := f.follow(ctx, relay, true)
-		var compacted *storer.CompactedError
-		if err == nil || ctx.Err() != nil || errors.As(err, &compacted) {
-			continue
-		}
-		f.log.Info().Err(err).Msg("relay failed; trying the next one or the store")
-		f.relays.reportFailure()
+		return nil
 	}
+	return f.relays.available()
 }
 
 // waitForRelay waits up to relayWaitTimeout for a relay, and reports whether one is
@@ -130,7 +112,7 @@
 		if !f.relays.enabled() {
 			return false
 		}
-		if _, ok := f.relays.next(); ok {
+		if len(f.relays.available()) > 0 {
 			return true
 		}
 		if !sleeper.Sleep(ctx, relayWaitInterval) {
@@ -149,7 +131,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if _, ok := f.availableRelay(); ok {
+			if len(f.availableRelays()) > 0 {
 				end(errRelayAvailable)
 				return
 			}
--- a/follower/restore_test.go
+++ b/follower/restore_test.go
@@ -165,7 +165,7 @@
 				var enabled, failed atomic.Bool
 				f := follower.New(store, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(),
 					follower.WithRelays(follower.NewRelays(enabled.Load,
-						func() (storer.Store, bool) { return relay, !failed.Load() }, func() { failed.Store(true) }, time.Second)))
+						untilFailed(relay, &failed), func(storer.Store) { failed.Store(true) }, time.Second)))
 				f.Start()
 				defer f.Close()
 				time.Sleep(time.Second)
--- a/follower/sources_test.go
+++ b/follower/sources_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -88,8 +90,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				latest := revision(150)
-				first := &firstSource{Store: serves.source("relay", relayTimeout, revision(100))}
-				relays, fallbacks := newSources(test.relays, relayTimeout, latest), newSources(test.fallbacks, relayTimeout, latest)
+				first := serves.source("first relay", relayTimeout, revision(100))
+				relays := newSources(test.relays, "relay", relayTimeout, latest)
+				fallbacks := newSources(test.fallbacks, "fallback", relayTimeout, latest)
 				reached := make(chan time.Time, 1)
 				onChange := func(_ []storer.Pair, stored storer.RangeResult) {
 					if stored.Revision() == latest {
@@ -116,52 +119,32 @@
 	}
 }
 
-// firstSource is the relay that is read from before the test begins.
-type firstSource struct {
-	storer.Store
-	used bool
-}
-
-func newSources(behaviours []behaviour, timeout time.Duration, latest storer.Revision) []storer.Store {
+func newSources(behaviours []behaviour, kind string, timeout time.Duration, latest storer.Revision) []storer.Store {
 	sources := make([]storer.Store, 0, len(behaviours))
-	for _, b := range behaviours {
-		sources = append(sources, b.source("relay", timeout, latest))
+	for n, b := range behaviours {
+		sources = append(sources, b.source(fmt.Sprintf("%s %d", kind, n), timeout, latest))
 	}
 	return sources
 }
 
-// relaysOf returns the relays and fallbacks. Each is used until it fails.
-func relaysOf(first *firstSource, relays, fallbacks []storer.Store) follower.Relays {
-	nextRelay, nextFallback := 0, 0
-	fromFallbacks := false
-	next := func() (storer.Store, bool) {
-		fromFallbacks = false
-		if !first.used {
-			return first.Store, true
-		}
-		if nextRelay == len(relays) {
-			return nil, false
-		}
-		return relays[nextRelay], true
-	}
-	fallback := func() (storer.Store, bool) {
-		fromFallbacks = true
-		if nextFallback == len(fallbacks) {
-			return nil, false
-		}
-		return fallbacks[nextFallback], true
+// relaysOf returns the relays and fallbacks. The first relay serves until its watch stalls,
+// and each of the others until it fails.
+func relaysOf(first storer.Store, relays, fallbacks []storer.Store) follower.Relays {
+	var failed sync.Map
+	usable := func(sources []storer.Store) []storer.Store {
+		return slices.DeleteFunc(slices.Clone(sources), func(s storer.Store) bool {
+			_, ok := failed.Load(s)
+			return ok
+		})
 	}
-	fail := func() {
-		switch {
-		case !first.used:
-			first.used = true
-		case fromFallbacks:
-			nextFallback++
-		default:
-			nextRelay++
+	available := func() []storer.Store {
+		if _, ok := failed.Load(first); !ok {
+			return []storer.Store{first}
 		}
+		return usable(relays)
 	}
-	return follower.NewRelays(func() bool { return true }, next, fail, watchTime).WithFallback(fallback)
+	return follower.NewRelays(func() bool { return true }, available, func(s storer.Store) { failed.Store(s, true) }, watchTime).
+		WithFallbacks(func() []storer.Store { return usable(fallbacks) })
 }
 
 // peersKnow repeats a revision, as the datagrams of peers do.
--- a/relayer/enrolment.go
+++ b/relayer/enrolment.go
@@ -132,7 +132,7 @@
 		if len(addresses) == maxEnrolmentTries {
 			break
 		}
-		if !s.isCoolingDown(relay.ID()) && !slices.Contains(addresses, relay.PeerAddress()) {
+		if !s.isCoolingDown(relay) && !slices.Contains(addresses, relay.PeerAddress()) {
 			addresses = append(addresses, relay.PeerAddress())
 		}
 	}
--- a/relayer/fallback_test.go
+++ b/relayer/fallback_test.go
@@ -35,13 +35,9 @@
 			defer selector.Close()
 			selector.UpdateInstances(test.instances)
 			var got []string
-			for {
-				peer, ok := selector.NextFallback()
-				if !ok {
-					break
-				}
-				got = append(got, storer.Name(peer))
-				selector.ReportFailure()
+			for fallbacks := selector.Fallbacks(); len(fallbacks) > 0; fallbacks = selector.Fallbacks() {
+				got = append(got, storer.Name(fallbacks[0]))
+				selector.ReportFailure(fallbacks[0])
 			}
 			c.Assert(got, qt.DeepEquals, test.want)
 		})
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -256,14 +256,11 @@
 			defer selector.Close()
 			c.Assert(selector.UpdateInstances(instances), qt.Equals, test.isRelay)
 			c.Assert(selector.UsesRelays(), qt.Equals, test.usesRelays)
-			_, found := selector.Next()
-			c.Assert(found, qt.Equals, test.found)
-			for range test.live { // Each live relay may fail once.
-				selector.ReportFailure()
-				selector.Next()
+			c.Assert(len(selector.Relays()) > 0, qt.Equals, test.found)
+			for _, relay := range selector.Relays() { // Each live relay may fail once.
+				selector.ReportFailure(relay)
 			}
-			_, found = selector.Next()
-			c.Assert(found, qt.IsFalse)
+			c.Assert(selector.Relays(), qt.HasLen, 0)
 		})
 	}
 }
--- a/relayer/selector.go
+++ b/relayer/selector.go
@@ -26,19 +26,12 @@
 	knownRevision func() storer.Revision
 	client        *http.Client
 	relays        atomic.Pointer[[]registrar.Instance] // Those that this instance may read from, in order of preference.
-	lastSelected  atomic.Pointer[selection]            // The relay that was returned last.
 	served        atomic.Pointer[string]               // Host:port of the relay whose keys were read last.
-	cooldowns     sync.Map                             // From an instance's ID to the time until which it is not selected.
+	cooldowns     sync.Map                             // From a source's name to the time until which it is not selected.
 	live          func() []registrar.Instance          // The live coordinators.
 	instances     atomic.Pointer[[]registrar.Instance] // All instances.
 }
 
-// selection is a relay that was returned, and how long it is not selected if it fails.
-type selection struct {
-	id       registrar.InstanceID
-	cooldown time.Duration
-}
-
 // NewSelector returns a selector for the instance self: knownRevision returns the
 // store's revision that its keys have reached, and live the coordinators that are
 // live.
@@ -77,7 +70,7 @@
 		if isSelf(relay) {
 			break
 		}
-		relays = append(relays, newSource(s.client, relay.PeerAddress(), s.knownRevision, s.recordServed))
+		relays = append(relays, s.newSource(relay))
 	}
 	return relays, selfListed
 }
@@ -85,46 +78,52 @@
 // UsesRelays reports whether this instance is to read from relays.
 func (s *Selector) UsesRelays() bool { return len(*s.relays.Load()) > 0 }
 
-// Next returns the first relay that is live and not cooling down after a failure.
-func (s *Selector) Next() (storer.Store, bool) {
+// Relays returns the relays that are live and not cooling down after a failure, in order
+// of preference.
+func (s *Selector) Relays() []storer.Store {
 	liveInstances := s.live()
+	var relays []storer.Store
 	for _, relay := range *s.relays.Load() {
 		isLive := slices.ContainsFunc(liveInstances, func(i registrar.Instance) bool { return i.ID() == relay.ID() })
-		if isLive && !s.isCoolingDown(relay.ID()) {
-			return s.selectRelay(relay, failedRelayCooldown), true
+		if isLive && !s.isCoolingDown(relay) {
+			relays = append(relays, s.newSource(relay))
 		}
 	}
-	return nil, false
+	return relays
 }
 
-// NextFallback returns a coordinator of any zone that is not cooling down after a
+// Fallbacks returns the coordinators of any zone that are not cooling down after a
 // failure, for an instance that neither its relays nor the store serve: the first ones
 // of the zones before the others, and the nearest ones before those.
-func (s *Selector) NextFallback() (storer.Store, bool) {
+func (s *Selector) Fallbacks() []storer.Store {
+	var fallbacks []storer.Store
 	for _, relay := range registrar.CoordinatorsByRank(*s.instances.Load(), s.self) {
-		if !s.isCoolingDown(relay.ID()) {
-			return s.selectRelay(relay, failedFallbackCooldown), true
+		if !s.isCoolingDown(relay) {
+			fallbacks = append(fallbacks, s.newSource(relay))
 		}
 	}
-	return nil, false
+	return fallbacks
 }
 
-func (s *Selector) selectRelay(relay registrar.Instance, cooldown time.Duration) storer.Store {
-	s.lastSelected.Store(&selection{id: relay.ID(), cooldown: cooldown})
+func (s *Selector) newSource(relay registrar.Instance) storer.Store {
 	return newSource(s.client, relay.PeerAddress(), s.knownRevision, s.recordServed)
 }
 
 func (s *Selector) recordServed(address string) { s.served.Store(&address) }
 
-// ReportFailure records that the relay or fallback which was returned last did not
-// serve: it is not selected for a while.
-func (s *Selector) ReportFailure() {
-	if last := s.lastSelected.Load(); last != nil {
-		s.cooldowns.Store(last.id, time.Now().Add(last.cooldown))
+// ReportFailure records that a relay or fallback did not serve: it is not selected for a
+// while.
+func (s *Selector) ReportFailure(source storer.Store) {
+	name, cooldown := storer.Name(source), failedFallbackCooldown
+	for _, relay := range *s.relays.Load() {
+		if sourceName(relay.PeerAddress()) == name {
+			cooldown = failedRelayCooldown
+		}
 	}
+	s.cooldowns.Store(name, time.Now().Add(cooldown))
 }
 
-func (s *Selector) isCoolingDown(id registrar.InstanceID) bool {
-	until, ok := s.cooldowns.Load(id)
+func (s *Selector) isCoolingDown(relay registrar.Instance) bool {
+	until, ok := s.cooldowns.Load(sourceName(relay.PeerAddress()))
 	return ok && time.Now().Before(until.(time.Time))
 }
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -43,6 +43,9 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTimeout}}
 }
 
+// sourceName returns the name of the relay at host:port.
+func sourceName(address string) string { return "relay " + address }
+
 // newSource returns a store that reads from the relay at host:port. The relay is
 // asked for keys at knownRevision or later, and its address is passed to onServed when
 // it has delivered them. The source must not be used concurrently.
@@ -51,7 +54,7 @@
 		base: "http://" + address, client: client, knownRevision: knownRevision,
 		onServed: func() { onServed(address) }, maxBytes: maxResponseBytes,
 	}
-	return storer.NewRemote(storer.WithName("relay "+address), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
+	return storer.NewRemote(storer.WithName(sourceName(address)), storer.WithRange(s.readRange), storer.WithPoll(s.poll, 0))
 }
 
 func (s *source) readRange(ctx context.Context, _ string) (storer.RangeResult, error) {
