Fetch a later configuration from several peers at once if they don't answer

Cause: a later configuration was fetched from one peer at a time, each with a timeout of its own, in the order in which their datagrams came.

Change: the peers whose claims wait are asked as well once one has not begun its answer for 0.15 s (hedger).

Before: fetcher TestConfigurationIsFetchedInTimeWhicheverPeersFail/most_are_silent, in force after 3.6 s by a fake clock (bound 3 s). After: it passes.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"burdocklane/descriptor"
+	"burdocklane/hedger"
 	"burdocklane/registrar"
 	"burdocklane/sleeper"
 
@@ -22,6 +24,9 @@
 	// maxBackoff bounds the pause between fetches from a peer that names a version
 	// which it does not deliver.
 	maxBackoff = 5 * time.Second
+	// hedgeDelay is how long a peer may take to begin its answer before the next one is
+	// asked as well.
+	hedgeDelay = 150 * time.Millisecond
 	// queueSize is how many claims wait. More are dropped: peers repeat them.
 	queueSize = 16
 )
@@ -71,7 +76,7 @@
 	since   time.Time
 }
 
-// Fetcher fetches later configurations from peers, one at a time.
+// Fetcher fetches later configurations from peers.
 type Fetcher struct {
 	hooks      Hooks
 	grace      time.Duration
@@ -138,24 +143,63 @@
 }
 
 // handle fetches from the peer unless the version has arrived within the grace, or the
-// peer failed a short time ago.
-func (f *Fetcher) handle(ctx context.Context, c claim) {
-	if c.version <= f.hooks.inForce() || time.Now().Before(f.failures[c.peer.ID()].until) {
+// peer failed a short time ago. Peers whose claims wait are asked as well if it does not
+// answer soon.
+func (f *Fetcher) handle(ctx context.Context, first claim) {
+	if !f.isUseful(first) || !sleeper.Sleep(ctx, f.remainingGrace()) {
 		return
 	}
-	if !sleeper.Sleep(ctx, f.remainingGrace()) || c.version <= f.hooks.inForce() {
-		return
+	claims := f.waitingClaims(first)
+	for len(claims) > 0 && ctx.Err() == nil {
+		f.fetchFirst(ctx, claims)
+		claims = slices.DeleteFunc(claims, func(c claim) bool { return !f.isUseful(c) })
 	}
-	started := time.Now()
-	err := f.fetch(ctx, c)
-	if ctx.Err() != nil {
-		return
+}
+
+// isUseful reports whether the claim is of a later version than the one in force, by a
+// peer that did not fail a short time ago.
+func (f *Fetcher) isUseful(c claim) bool {
+	return c.version > f.hooks.inForce() && !time.Now().Before(f.failures[c.peer.ID()].until)
+}
+
+// waitingClaims returns the useful claims of different peers, the first one and those that
+// wait.
+func (f *Fetcher) waitingClaims(first claim) []claim {
+	var claims []claim
+	for next := first; ; {
+		isKnown := slices.ContainsFunc(claims, func(c claim) bool { return c.peer.ID() == next.peer.ID() })
+		if f.isUseful(next) && !isKnown {
+			claims = append(claims, next)
+		}
+		select {
+		case next = <-f.claims:
+		default:
+			return claims
+		}
 	}
-	if err == nil {
-		delete(f.failures, c.peer.ID())
-		return
+}
+
+// fetchFirst puts the first configuration in force that one of the peers delivers.
+func (f *Fetcher) fetchFirst(ctx context.Context, claims []claim) {
+	tries := make([]hedger.Try, 0, len(claims))
+	took := make([]time.Duration, len(claims))
+	for n, c := range claims {
+		tries = append(tries, func(ctx context.Context) error {
+			started := time.Now()
+			err := f.fetch(ctx, c)
+			took[n] = time.Since(started)
+			return err
+		})
+	}
+	winner, errs := hedger.Do(ctx, hedgeDelay, tries...)
+	if winner != hedger.NoWinner {
+		delete(f.failures, claims[winner].peer.ID())
+	}
+	for n, err := range errs {
+		if err != nil && ctx.Err() == nil {
+			f.recordFailure(claims[n], err, took[n])
+		}
 	}
-	f.recordFailure(c, err, time.Since(started))
 }
 
 // remainingGrace returns what is left of the grace since peers first named a later
