Keep a panic in the fetch of a configuration from ending the process

The goroutine that fetches and applies a peer's configuration did not recover, so that one odd configuration could end the process (report of other operators). fetcher: TestPanicOfAFetchIsAFailure ends the test's process before, and passes now: the peer counts as failed, and the next one is asked.

--- a/fetcher/fetcher.go
+++ b/fetcher/fetcher.go
@@ -12,6 +12,7 @@
 
 	"burdocklane/descriptor"
 	"burdocklane/hedger"
+	"burdocklane/recoverer"
 	"burdocklane/registrar"
 	"burdocklane/sleeper"
 
@@ -184,10 +185,13 @@
 	tries := make([]hedger.Try, 0, len(claims))
 	took := make([]time.Duration, len(claims))
 	for n, c := range claims {
-		tries = append(tries, func(ctx context.Context) error {
+		tries = append(tries, func(ctx context.Context) (err error) {
 			started := time.Now()
-			err := f.fetch(ctx, c)
+			panicked := recoverer.Do(f.log, "fetch of a configuration", func() { err = f.fetch(ctx, c) })
 			took[n] = time.Since(started)
+			if panicked != nil {
+				return panicked
+			}
 			return err
 		})
 	}
--- a/fetcher/late_test.go
+++ b/fetcher/late_test.go
@@ -90,3 +90,30 @@
 		})
 	}
 }
+
+// Guards against an unexpected error in one peer's configuration that ends the process.
+func TestPanicOfAFetchIsAFailure(t *testing.T) {
+	c := qt.New(t)
+	var f fleet
+	f.inForce.Store(1)
+	hooks := fetcher.NewHooks(
+		func() descriptor.Revision { return descriptor.Revision(f.inForce.Load()) },
+		func(_ context.Context, address string) ([]byte, error) {
+			return f.fetch(peers{"a:1": 3, "b:1": 2}, address)
+		},
+		func(value []byte, source string) (descriptor.Revision, error) {
+			if source == "peer a:1" {
+				panic("odd configuration")
+			}
+			return f.apply(value, source)
+		})
+	tested := fetcher.New(hooks, 0, zerolog.Nop())
+	tested.Observe(instance("a"), 2)
+	tested.Observe(instance("b"), 2)
+	for deadline := time.Now().Add(awaitTime); f.inForce.Load() < 2 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	tested.Close()
+	c.Assert(f.inForce.Load(), qt.Equals, int64(2))
+	c.Assert(f.fetches(), qt.DeepEquals, []string{"a:1", "b:1"})
+}
