Pass over a worker whose leaving becomes known while it is verified

Cause: a call is verified for up to 0.1 s after its worker was chosen, twice at most, and sent there although the list had shown it as leaving meanwhile. That this was the users' case is suspected, not shown.

Before: dispatcher TestCallIsNotSentToAWorkerThatLeavesMeanwhile/it_leaves fails. After: it passes.

--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -115,6 +115,9 @@
 	health := v.checker.Check(ctx, worker.Member(), path)
 	record(pool, worker, health)
 	verdict := Judge(health, knownUnhealthy)
+	if _, ok := verdict.(Confirmed); ok && worker.LeavingFor(pool.Now()) > 0 { // It was chosen before that was known.
+		verdict = Rejected{reason: "leaving"}
+	}
 	switch verdict.(type) {
 	case Confirmed:
 		confirmedTotal.Inc()
