Probe the store before reading it again from a fallback

An instance that the store refuses read all keys from it once a second to find out whether it serves again: with a large configuration some 950 KB a second, should the store begin to answer slowly, on a link that calls use as well. It is probed first now.

Before: follower TestRefusedInstanceProbesTheStore/probes_are_refused, 4 reads in 4.5 s.

--- a/follower/fallback.go
+++ b/follower/fallback.go
@@ -44,9 +44,15 @@
 	}
 }
 
-// endWhenStoreServes ends the watch of a fallback once the store can be read.
+// endWhenStoreServes ends the watch of a fallback once the store can be read. A probe costs
+// less than a read, which is tried only if the store answers the probe.
 func (f *Follower) endWhenStoreServes(ctx context.Context, end context.CancelCauseFunc) {
 	for sleeper.Sleep(ctx, storeProbeInterval) {
+		if storer.CanProbe(f.store) {
+			if _, err := f.probe(ctx, minProbeTimeout); err != nil {
+				continue
+			}
+		}
 		if _, err := storer.Range(ctx, f.store, f.prefix); err == nil {
 			end(errStoreServes)
 			return
--- a/follower/fallback_test.go
+++ b/follower/fallback_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdocklane/follower"
@@ -105,3 +106,42 @@
 	}
 	c.Assert(f.FollowsStore(), qt.IsTrue)
 }
+
+// Guards against an instance that reads all keys from the store, once a second, only to
+// find out that the store still refuses it.
+func TestRefusedInstanceProbesTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer error // To a probe.
+		reads  int64
+	}{
+		{"probes are refused", storer.NewStatusError("probe", 503, ""), 0},
+		{"probes are answered, reads refused", nil, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var reads atomic.Int64
+				store := storer.NewRemote(
+					storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+						reads.Add(1)
+						return storer.RangeResult{}, storer.NewStatusError("range", 503, "")
+					}),
+					storer.WithProbe(func(context.Context) (storer.Revision, error) { return revision(150), test.answer }))
+				relays := follower.NewRelays(func() bool { return false }, noRelay, func(storer.Store) {}, time.Second).
+					WithFallbacks(func() []storer.Store { return []storer.Store{fakeRelay(150, blockUntilDone)} })
+				f := follower.New(store, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(), follower.WithRelays(relays))
+				f.Start()
+				f.NotifyRevision(revision(150))
+				for f.Revision() != revision(150) {
+					time.Sleep(time.Millisecond)
+				}
+				before := reads.Load()
+				time.Sleep(4500 * time.Millisecond)
+				c.Check(reads.Load()-before, qt.Equals, test.reads)
+				f.Close()
+			})
+		})
+	}
+}
