Leave relays that don't serve at the start once peers know what the store has

Before: follower TestFirstSourceOfAnInstance, the row in which peers know what the store has, 3.8 s (bound 3 s). After: it passes, and an instance whose relay is starting too still reads from that.

--- a/follower/discovery.go
+++ b/follower/discovery.go
@@ -66,7 +66,7 @@
 	if f.discovery.choose == nil || !storer.CanRangeStale(f.store) {
 		return
 	}
-	for f.now() < discoveryTimeout {
+	for f.now() < discoveryTimeout && !f.isOverdue() {
 		wait := discoveryInterval
 		listed, err := storer.RangeStale(ctx, f.store, f.discovery.prefix)
 		if err != nil {
@@ -90,11 +90,18 @@
 	}
 }
 
+// isOverdue reports whether peers have known a later revision for longer than a watch may
+// take to deliver it: the relays of this zone do not serve, while others follow the store.
+func (f *Follower) isOverdue() bool {
+	since, ok := f.catchUp.pending()
+	return ok && f.now()-since > f.catchUpTimeout()
+}
+
 // followFirstRelay follows the first of the relays that serves, and reports whether one did or
 // the context has ended. They may be starting too, so that each is tried repeatedly, but
 // only for discoveryInterval: the list may name another relay by then.
 func (f *Follower) followFirstRelay(ctx context.Context, relays []storer.Store) bool {
-	for until := f.now() + discoveryInterval; f.now() < until; {
+	for until := f.now() + discoveryInterval; f.now() < until && !f.isOverdue(); {
 		for _, relay := range relays {
 			err := f.followRelay(ctx, relay)
 			if f.lastContact.Load() != 0 || ctx.Err() != nil {
