--- a/storer/gateway.go
+++ b/storer/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"burdocklane/holder"
+	"burdocklane/timekeeper"
 
 	"github.com/go-faster/errors"
 )
@@ -34,7 +35,8 @@
 // GatewayOption sets one property of a Gateway.
 type GatewayOption func(*Gateway)
 
-// WithCallTimeout sets the timeout of one call. Watches have no timeout.
+// WithCallTimeout sets how long the response to a call may take to begin, and how long it
+// may stand still. Watches have no timeout.
 func WithCallTimeout(d time.Duration) GatewayOption { return func(g *Gateway) { g.timeout = d } }
 
 // NewGateway returns a client of the gateway at the base URL.
@@ -138,14 +140,14 @@
 
 // call posts a request and decodes the response into result.
 func call[Q, A any](ctx context.Context, g *Gateway, operation, path string, request Q, result *A) error {
-	ctx, cancel := context.WithTimeout(ctx, g.timeout)
-	defer cancel()
-	response, err := post(ctx, g, operation, path, request)
+	exchange := timekeeper.New(ctx, g.timeout, g.timeout)
+	defer exchange.Close()
+	response, err := post(exchange.Context(), g, operation, path, request)
 	if err != nil {
-		return err
+		return exchange.Reason(err)
 	}
 	defer response.Body.Close()
-	data, err := holder.ReadLimited(response.Body, maxMessageBytes)
+	data, err := exchange.ReadBody(response.Body, maxMessageBytes)
 	if err != nil {
 		return errors.Wrapf(err, "store: %s", operation)
 	}
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -13,6 +13,7 @@
 	"burdocklane/emulator"
 	"burdocklane/holder"
 	"burdocklane/storer"
+	"burdocklane/throttler"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-faster/errors"
@@ -156,3 +157,26 @@
 	c.Assert(errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
 	c.Assert(received, qt.Equals, messages)
 }
+
+// Guards against a read of all keys that fails each time since it does not arrive over a
+// thin link within a call's timeout.
+func TestLongReadOverAThinLink(t *testing.T) {
+	const (
+		linkBytes   = 1_250_000 // What a link of 10 Mbit/s passes on in a second.
+		callTimeout = 500 * time.Millisecond
+	)
+	c := qt.New(t)
+	value := strings.Repeat("AAAA", linkBytes/4)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"header":{"revision":"8"},"kvs":[{"key":"YQ==","value":"%s","mod_revision":"8"}]}`, value)
+	}))
+	defer server.Close()
+	link, err := throttler.New(strings.TrimPrefix(server.URL, "http://"), linkBytes)
+	c.Assert(err, qt.IsNil)
+	defer link.Close()
+	gateway := storer.NewGateway("http://"+link.Address(), storer.WithCallTimeout(callTimeout))
+	defer gateway.Close()
+	result, err := storer.Range(context.Background(), gateway, "/")
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Pairs(), qt.HasLen, 1)
+}
