Play growing configurations and thin links to the store in the soak

Two faults more: the configuration grows by 1,400 routes, three times at most, and the link of an instance to the store passes on 200 KB a second.

--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -38,6 +38,9 @@
 	maxFaultInterval = 800 * time.Millisecond
 	// stopTimeout is the longest time that a process may take to stop.
 	stopTimeout = 6 * time.Second
+	// routesPerGrowth is by how many routes a configuration grows at once.
+	routesPerGrowth = 1400
+	maxOtherRoutes  = 3 * routesPerGrowth
 )
 
 func allFaults() []fault {
@@ -70,6 +73,8 @@
 		{"worker-drained", replaceWorker},
 		{"configuration", changeConfiguration},
 		{"configurations", changeConfigurationRepeatedly},
+		{"configuration-grows", growConfiguration},
+		{"store-link-thin", storeLinkFault(toxic("bandwidth", "downstream", `"rate":200`))},
 	}
 }
 
@@ -220,6 +225,17 @@
 	f.putNextConfiguration()
 }
 
+// growConfiguration adds many routes to the configuration, three times at most, and then
+// changes it again.
+func growConfiguration(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
+	f.mutex.Lock()
+	f.otherRoutes = min(f.otherRoutes+routesPerGrowth, maxOtherRoutes)
+	f.mutex.Unlock()
+	f.putNextConfiguration()
+	sleeper.Sleep(ctx, duration)
+	f.putNextConfiguration()
+}
+
 func changeConfigurationRepeatedly(ctx context.Context, f *fleet, _ *rand.Rand, duration time.Duration) {
 	const changes = 6
 	for range changes {
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -49,6 +49,7 @@
 	instances    []*instance
 	incarnations []*incarnation
 	version      int
+	otherRoutes  int // The number of routes that nobody calls.
 	// confirmations are the times at which the store had confirmed the versions of
 	// the configuration, from the first on.
 	confirmations   []time.Time
@@ -134,7 +135,8 @@
 }
 
 // putNextConfiguration puts the next version of the configuration into the store.
-// Each version adds one route of each kind.
+// Each version adds one route of each kind. It has all other routes too, which nobody
+// calls.
 func (f *fleet) putNextConfiguration() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -145,6 +147,9 @@
 			`"once-%[1]d":{"Host":"h.example","Prefix":"/once/%[1]d/",%[2]s,"Kind":"unsafe"}`, n,
 			`"TimeoutMs":2000,"TargetLatencyMs":300,"MaxAttempts":3,"Service":"`+serviceName+`"`))
 	}
+	for n := range f.otherRoutes {
+		routes = append(routes, fmt.Sprintf(`"other-%[1]d":{"Host":"h%[1]d.example","Prefix":"/other/%[1]d/","Kind":"safe","Service":%[2]q}`, n, serviceName))
+	}
 	f.store.Put(configKey, fmt.Sprintf(`{"Version":"r%d","Routes":{%s},"Services":{%q:{"HealthPath":%q}},"Limits":{"IdleTimeoutMs":15000}}`,
 		f.version, strings.Join(routes, ","), serviceName, imitator.HealthPath))
 	f.confirmations = append(f.confirmations, time.Now())
