Tell whether a call that failed in a planned stop was on a reused connection

TestPlannedStopAbortsNoCalls was red once with EOF; whether the instance closed an idle connection that the call crossed, or cut an accepted one, could not be told.

--- a/integrator/failure_test.go
+++ b/integrator/failure_test.go
@@ -159,7 +159,7 @@
 				// instance that has exited, so a refused connection is allowed. A
 				// connection that was accepted must not be aborted.
 				refused := o.Address() == stopped && o.Err() != nil && strings.Contains(o.Err().Error(), "refused")
-				c.Check(o.Kind() == loader.Good || refused, qt.IsTrue, qt.Commentf("%s: %s %v", o.ID(), o.Kind(), o.Err()))
+				c.Check(o.Kind() == loader.Good || refused, qt.IsTrue, qt.Commentf("%s: %s %v, on a reused connection: %t", o.ID(), o.Kind(), o.Err(), o.Reused()))
 			}
 		})
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"syscall"
@@ -122,6 +123,7 @@
 
 func send(ctx context.Context, client *http.Client, target string, callType CallType, id string, o *Outcome) (Kind, error) {
 	body := bytes.Repeat([]byte{'x'}, callType.requestBytes)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { o.reused = info.Reused }})
 	url := "http://" + target + callType.path + "?bytes=" + strconv.Itoa(callType.responseBytes)
 	request, err := http.NewRequestWithContext(ctx, callType.method, url, http.NoBody)
 	if err != nil {
--- a/loader/outcome.go
+++ b/loader/outcome.go
@@ -29,6 +29,7 @@
 	worker        string
 	address       string
 	status        int
+	reused        bool
 	err           error
 }
 
@@ -56,6 +57,10 @@
 // Status returns the HTTP status code, or 0 if there was no response.
 func (o Outcome) Status() int { return o.status }
 
+// Reused reports whether the connection had carried other calls before: its other end may
+// have been closing it as idle while the call was sent.
+func (o Outcome) Reused() bool { return o.reused }
+
 // Err returns why there was no complete response, or nil.
 func (o Outcome) Err() error { return o.err }
 
