Refuse reads at once at a relay that has lost the store, and leave it at a start

A relay that has lost the store now answers 502 without a wait; one that may take over still lets its readers wait. An instance that starts goes on to the store when all relays say so; the rule by time is gone.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -171,7 +171,8 @@
 		return err
 	}
 	p.delegate = registrant.NewDelegate(p.store, adapter.InstancePrefix, p.log)
-	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log, relayer.WithEnrolment(p.delegate.Enroll))
+	p.relay, err = relayer.New(p.settings.Peers(), func() bool { return p.follower.FollowsStore() }, p.log,
+		relayer.WithEnrolment(p.delegate.Enroll), relayer.WithStoreLost(func() bool { return p.follower.HasLostStore() }))
 	if err != nil {
 		return err
 	}
--- a/follower/discovery.go
+++ b/follower/discovery.go
@@ -6,6 +6,8 @@
 
 	"burdocklane/sleeper"
 	"burdocklane/storer"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -66,7 +68,7 @@
 	if f.discovery.choose == nil || !storer.CanRangeStale(f.store) {
 		return
 	}
-	for f.now() < discoveryTimeout && !f.isOverdue() {
+	for f.now() < discoveryTimeout {
 		wait := discoveryInterval
 		listed, err := storer.RangeStale(ctx, f.store, f.discovery.prefix)
 		if err != nil {
@@ -90,32 +92,37 @@
 	}
 }
 
-// isOverdue reports whether peers have known a later revision for longer than a watch may
-// take to deliver it: the relays of this zone do not serve, while others follow the store.
-func (f *Follower) isOverdue() bool {
-	since, ok := f.catchUp.pending()
-	return ok && f.now()-since > f.catchUpTimeout()
-}
-
-// followFirstRelay follows the first of the relays that serves, and reports whether one did or
-// the context has ended. They may be starting too, so that each is tried repeatedly, but
-// only for discoveryInterval: the list may name another relay by then.
+// followFirstRelay follows the first of the relays that serves. It reports whether the
+// search is over: one served, the context has ended, or all of them have lost the store.
+// They may be starting too, so that each is tried repeatedly, but only for
+// discoveryInterval: the list may name another relay by then.
 func (f *Follower) followFirstRelay(ctx context.Context, relays []storer.Store) bool {
-	for until := f.now() + discoveryInterval; f.now() < until && !f.isOverdue(); {
+	for until := f.now() + discoveryInterval; f.now() < until; {
+		lost := 0
 		for _, relay := range relays {
 			err := f.followRelay(ctx, relay)
 			if f.lastContact.Load() != 0 || ctx.Err() != nil {
 				return true
 			}
+			if hasLostStore(err) {
+				lost++
+			}
 			f.log.Debug().Err(err).Str("source", storer.Name(relay)).Msg("relay does not serve yet")
 		}
-		if !sleeper.Sleep(ctx, relayRetryInterval) {
+		if lost == len(relays) || !sleeper.Sleep(ctx, relayRetryInterval) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasLostStore reports whether a relay has refused a read since the store does not serve
+// it: unlike one that is starting, it will not serve soon.
+func hasLostStore(err error) bool {
+	var lost *storer.RelayLostStoreError
+	return errors.As(err, &lost)
+}
+
 // followRelay reads the keys from a relay and watches them until the watch breaks.
 func (f *Follower) followRelay(ctx context.Context, relay storer.Store) error {
 	read, err := f.read(ctx, relay)
--- a/follower/failure.go
+++ b/follower/failure.go
@@ -16,6 +16,7 @@
 	var compacted *storer.CompactedError
 	var status *storer.StatusError
 	var probe *ProbeError
+	var relayLost *storer.RelayLostStoreError
 	if reason := eraReason(err); reason != "" {
 		return reason // Also of a probe: the store does answer.
 	}
@@ -28,6 +29,8 @@
 		return "stalled-watch"
 	case errors.As(err, &compacted):
 		return "compacted"
+	case errors.As(err, &relayLost):
+		return "relay-lost-store"
 	case errors.As(err, &status):
 		return "status-" + strconv.Itoa(status.Status())
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -62,6 +62,7 @@
 	catchUp       catchUp
 	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
+	usesFallback  atomic.Bool   // The keys are read from a peer of another zone, since the store refuses this instance.
 	direct        atomic.Bool   // The keys are read from the store itself, not from a relay.
 	source        atomic.Value  // The name of the store or relay that the keys were last read from.
 	wake          chan struct{} // Signals that a peer reaches the store.
@@ -135,6 +136,13 @@
 	return lostAt == 0 || f.now()-time.Duration(lostAt) < unreachableThreshold
 }
 
+// HasLostStore reports whether the store does not serve this instance, which will not be
+// a relay soon either.
+func (f *Follower) HasLostStore() bool {
+	lostAt := f.lostAt.Load()
+	return f.usesFallback.Load() || lostAt != 0 && f.now()-time.Duration(lostAt) >= unreachableThreshold
+}
+
 // NotifyRevision notes that the store has reached a revision, as reported by a peer. If
 // the watch does not deliver it within the catch-up timeout, the watch is
 // considered stalled, and the keys are read again. If no watch is in progress, it
@@ -213,6 +221,8 @@
 		f.adopt(s.store, read, true)
 		f.reportFailure(s, f.watchKeys(ctx, s.store, read.result.Revision(), true))
 	case fallbackSource:
+		f.usesFallback.Store(true)
+		defer f.usesFallback.Store(false)
 		f.adopt(s.store, read, true)
 		f.reportFailure(s, f.watchUntilStoreServes(ctx, s.store, read.result.Revision()))
 	case storeSource:
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -41,6 +41,10 @@
 	pathKeys    = "/relay/keys"
 	pathChanges = "/relay/changes"
 
+	// statusStoreLost is the status with which an instance that has lost the store refuses
+	// a read.
+	statusStoreLost = http.StatusBadGateway
+
 	queryMinEra      = "least-era"
 	queryMinRevision = "least-revision"
 	queryCursor      = "cursor"
@@ -54,6 +58,7 @@
 type Relay struct {
 	incarnation  string
 	followsStore func() bool // Reports whether this instance follows the store itself and reaches it.
+	hasLostStore func() bool // Reports whether the store does not serve this instance.
 	serving      atomic.Bool
 	keys         atomic.Pointer[snapshot]
 	enroll       Enroll                           // Or nil.
@@ -68,6 +73,12 @@
 // Option sets one property of a Relay.
 type Option func(*Relay)
 
+// WithStoreLost sets a function that reports whether the store does not serve this
+// instance: it refuses reads at once then.
+func WithStoreLost(hasLostStore func() bool) Option {
+	return func(r *Relay) { r.hasLostStore = hasLostStore }
+}
+
 // New returns a Relay that listens on the address. followsStore reports whether
 // this instance follows the store itself and reaches it: an instance that does not
 // rejects the requests.
@@ -76,7 +87,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for relay requests")
 	}
-	r := &Relay{incarnation: uuid.NewString(), followsStore: followsStore, address: socket.Addr().String()}
+	r := &Relay{incarnation: uuid.NewString(), followsStore: followsStore, hasLostStore: func() bool { return false }, address: socket.Addr().String()}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -138,6 +149,10 @@
 		http.Error(w, "no revision", http.StatusBadRequest)
 		return
 	}
+	if r.hasLostStore() {
+		w.WriteHeader(statusStoreLost)
+		return
+	}
 	r.waitFor(request.Context(), takeoverTimeout, func(*snapshot) bool { return r.serves() })
 	current := r.waitFor(request.Context(), catchUpTimeout, func(s *snapshot) bool { return !s.revision.Before(minRevision) || !r.serves() })
 	if !r.serves() || current.revision.Before(minRevision) {
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -227,6 +227,31 @@
 	c.Assert(<-served, qt.IsTrue)
 }
 
+// Guards against readers that wait at a relay which will not take over, as the store does
+// not serve it, and against a refusal by one that is about to.
+func TestRelayThatHasLostTheStore(t *testing.T) {
+	tests := []struct {
+		name string
+		lost bool
+		want string
+	}{
+		{"it has lost the store", true, "has lost the store"},
+		{"it may take over", false, "status 503"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r, err := New(anyAddress, func() bool { return false }, zerolog.Nop(), WithStoreLost(func() bool { return test.lost }))
+			c.Assert(err, qt.IsNil)
+			defer r.Close()
+			client := newClient()
+			defer client.CloseIdleConnections()
+			_, err = storer.Range(context.Background(), newSource(client, r.Address(), known(1), func(string) {}), "")
+			c.Assert(err, qt.ErrorMatches, ".*"+test.want+".*")
+		})
+	}
+}
+
 func instance(id, zone string, power float64) registrar.Instance {
 	return registrar.NewInstance(registrar.InstanceID(id), id+":1", "", registrar.NewLocality("r", zone), false).WithCPUs(power)
 }
--- a/relayer/source.go
+++ b/relayer/source.go
@@ -103,6 +103,9 @@
 	if response.StatusCode == http.StatusGone {
 		return storer.NewCompactedError(s.knownRevision())
 	}
+	if response.StatusCode == statusStoreLost {
+		return storer.NewRelayLostStoreError(s.base)
+	}
 	if response.StatusCode != http.StatusOK {
 		return storer.NewStatusError("relay", response.StatusCode, "")
 	}
--- a/storer/store.go
+++ b/storer/store.go
@@ -67,6 +67,11 @@
 	return &StatusError{operation: operation, status: status, message: message}
 }
 
+// NewRelayLostStoreError returns the error for a read from a relay that has lost the store.
+func NewRelayLostStoreError(relay string) *RelayLostStoreError {
+	return &RelayLostStoreError{relay: relay}
+}
+
 // NewCompactedError returns the error for a watch from a compacted revision.
 func NewCompactedError(revision Revision) *CompactedError { return &CompactedError{revision: revision} }
 
@@ -180,6 +185,15 @@
 	message   string
 }
 
+// RelayLostStoreError reports a relay that does not serve because the store does not serve
+// it. One that is about to serve refuses with another error.
+type RelayLostStoreError struct{ relay string }
+
+// Error implements error.
+func (e *RelayLostStoreError) Error() string {
+	return fmt.Sprintf("relay %s has lost the store", e.relay)
+}
+
 // Status returns the HTTP status.
 func (e *StatusError) Status() int { return e.status }
 
