Record the loss of the store before other sources answer

Found in reading again: an instance whose watch has stalled, and whose read of the store then fails, recorded the loss only when all other sources had answered or timed out, up to 2 s later. As a relay it served old keys to its zone until then.

Before: follower TestLossOfTheStoreIsKnownBeforeOtherSourcesAnswer fails in all three checks. After: it passes.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -183,7 +183,8 @@
 		if f.lastContact.Load() != lastContact {
 			failures = 0
 		}
-		if err == nil || f.shouldRetryNow(err) {
+		var unread *UnreadError
+		if err == nil || !errors.As(err, &unread) && f.recordFailure(err) {
 			continue
 		}
 		failures++
@@ -198,7 +199,8 @@
 	return maxBackoff
 }
 
-// followFirst follows the first source that serves. The error is that of the store.
+// followFirst follows the first source that serves. The error is that of the store, or an
+// *UnreadError.
 func (f *Follower) followFirst(ctx context.Context) (err error) {
 	panicked := recoverer.Do(f.log, "follow of the keys", func() {
 		var first source
--- a/follower/outage.go
+++ b/follower/outage.go
@@ -13,11 +13,11 @@
 // copy.
 var storeRestores = metrics.NewCounter("burdocklane_store_restores_total")
 
-// shouldRetryNow logs why a read or watch failed, and reports whether to read
+// recordFailure logs why a read or watch failed, and reports whether to read
 // again without a backoff: neither a compacted history nor a stalled watch is an
 // outage, and after a failed probe the next read tells. For all other errors it
 // records the start of the outage.
-func (f *Follower) shouldRetryNow(err error) bool {
+func (f *Follower) recordFailure(err error) bool {
 	var compacted *storer.CompactedError
 	var stalled *StalledWatchError
 	var probe *ProbeError
--- a/follower/source.go
+++ b/follower/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"burdocklane/hedger"
@@ -94,16 +95,30 @@
 	return read, err
 }
 
+// UnreadError reports that no source has delivered the keys. What the store's failure was
+// has been recorded.
+type UnreadError struct{ store error }
+
+// Error implements error.
+func (e *UnreadError) Error() string { return fmt.Sprintf("no source serves; store: %v", e.store) }
+
+// Unwrap returns why the read of the store failed.
+func (e *UnreadError) Unwrap() error { return e.store }
+
 // readFirst reads the keys from the first source that delivers them. The sources are read
-// one after another, and at the same time if one does not answer soon. The error is that
-// of the store.
+// one after another, and at the same time if one does not answer soon. The error is an
+// *UnreadError if none delivers them.
 func (f *Follower) readFirst(ctx context.Context) (source, keysRead, error) {
 	sources := f.sources()
 	reads := make([]keysRead, len(sources))
 	tries := make([]hedger.Try, 0, len(sources))
+	isRelay := f.direct.Load()
 	for n, s := range sources {
 		tries = append(tries, func(ctx context.Context) (err error) {
 			reads[n], err = f.read(ctx, storeOf(s))
+			if _, ok := s.(storeSource); ok && isRelay && err != nil && ctx.Err() == nil {
+				f.recordFailure(err) // Others read from this instance: they must not wait for its other sources.
+			}
 			return err
 		})
 	}
@@ -113,10 +128,13 @@
 	}
 	storeErr := f.reportFailures(sources, errs)
 	if winner == hedger.NoWinner {
-		return nil, keysRead{}, storeErr
+		if !isRelay {
+			f.recordFailure(storeErr)
+		}
+		return nil, keysRead{}, &UnreadError{store: storeErr}
 	}
-	if _, ok := sources[winner].(fallbackSource); ok && storeErr != nil {
-		f.shouldRetryNow(storeErr)
+	if _, ok := sources[winner].(fallbackSource); ok && !isRelay && storeErr != nil {
+		f.recordFailure(storeErr)
 	}
 	return sources[winner], reads[winner], nil
 }
--- a/follower/sources_test.go
+++ b/follower/sources_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,3 +155,37 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// Guards against a relay that goes on serving old keys while it waits for other sources,
+// although its own read of the store has failed.
+func TestLossOfTheStoreIsKnownBeforeOtherSourcesAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		reads := 0
+		store := storer.NewRemote(
+			storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+				if reads++; reads > 1 {
+					return storer.RangeResult{}, storer.NewStatusError("range", 503, "")
+				}
+				return storer.NewRangeResult(nil, revision(100)), nil
+			}),
+			storer.WithPoll(func(ctx context.Context, _ string, _ storer.Revision) (storer.Batch, error) {
+				return storer.Batch{}, blockUntilDone(ctx)
+			}, 0))
+		fallbacks := newSources([]behaviour{isSilent, isSilent, isSilent}, "fallback", relayTimeout, revision(150))
+		relays := follower.NewRelays(func() bool { return false }, noRelay, func(storer.Store) {}, watchTime).
+			WithFallbacks(func() []storer.Store { return fallbacks })
+		var lost atomic.Bool
+		f := follower.New(store, "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(),
+			follower.WithRelays(relays), follower.WithOnLost(func() { lost.Store(true) }))
+		f.Start()
+		synctest.Wait()
+		c.Check(f.FollowsStore(), qt.IsTrue)
+		f.NotifyRevision(revision(150))
+		time.Sleep(watchTime + 500*time.Millisecond) // The watch has stalled, and the read was refused.
+		c.Check(lost.Load(), qt.IsTrue)
+		c.Check(f.FollowsStore(), qt.IsFalse)
+		c.Check(f.HasLostStore(), qt.IsTrue)
+		f.Close()
+	})
+}
