Take a relay that lacks what peers know for one that is behind

Found in reading again.

Cause: a read from a relay or peer counted as good unless its keys were older than the reader's own. One that was stuck at the same revision was followed again, and its watch had to stall once more, 0.9 s each time.

Change: a relay's or peer's keys without the missing revision count only if no source has it. A read of the store itself that was begun after the revision was named refutes it.

--- a/follower/catchup.go
+++ b/follower/catchup.go
@@ -22,28 +22,39 @@
 // catchUp records how long the replica has known that a later revision exists, and
 // what was read meanwhile. The zero value is ready to use.
 type catchUp struct {
-	mutex    sync.Mutex // Guards the fields below.
-	target   storer.Revision
-	since    time.Duration // When the target was first named.
+	mutex    sync.Mutex      // Guards the fields below.
+	target   storer.Revision // The earliest of the named revisions that is missing.
+	latest   storer.Revision // The latest one.
+	since    time.Duration   // When the target was first named.
 	attempts []string
 	omitted  int // The number of attempts beyond maxLoggedAttempts.
 }
 
-// begin records that peers have named a revision later than the replica's, unless an
-// earlier one is missing already.
-func (c *catchUp) begin(target storer.Revision, now time.Duration) {
+// begin records that peers have named a revision later than the replica's.
+func (c *catchUp) begin(named storer.Revision, now time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.latest = storer.LatestRevision(c.latest, named)
 	if c.target.IsZero() {
-		c.target, c.since = target, now
+		c.target, c.since = named, now
 	}
 }
 
-// pending returns since when a revision that peers have named is missing, if one is.
-func (c *catchUp) pending() (since time.Duration, ok bool) {
+// pending returns the revision that is missing, and since when. It is zero if none is.
+func (c *catchUp) pending() (target storer.Revision, since time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.since, !c.target.IsZero()
+	return c.target, c.since
+}
+
+// refute drops the missing revision if it was named before a read of the store itself that
+// did not deliver it: the store has never had it.
+func (c *catchUp) refute(readAt time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.since < readAt {
+		c.target, c.latest, c.attempts, c.omitted = storer.Revision{}, storer.Revision{}, nil, 0
+	}
 }
 
 // record records a read: its source, how long it took and its outcome.
@@ -62,7 +73,7 @@
 // reached reports whether the target has been reached at the revision, how long that
 // took and what was read. The next target is the latest revision that peers have named,
 // if that is later.
-func (c *catchUp) reached(have, latest storer.Revision, now time.Duration) (delay time.Duration, attempts []string, ok bool) {
+func (c *catchUp) reached(have storer.Revision, now time.Duration) (delay time.Duration, attempts []string, ok bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.target.IsZero() || c.target.After(have) {
@@ -73,8 +84,8 @@
 		attempts = append(attempts, fmt.Sprintf("and %d more", c.omitted))
 	}
 	c.target, c.attempts, c.omitted = storer.Revision{}, nil, 0
-	if latest.After(have) {
-		c.target, c.since = latest, now
+	if c.latest.After(have) {
+		c.target, c.since = c.latest, now
 	}
 	return delay, attempts, true
 }
@@ -83,7 +94,7 @@
 // longer than a watch may take to deliver it, it logs what took the time.
 func (f *Follower) advance(revision storer.Revision) {
 	f.knownRevision.Advance(revision)
-	delay, attempts, ok := f.catchUp.reached(f.knownRevision.Load(), f.peerRevision.Load(), f.now())
+	delay, attempts, ok := f.catchUp.reached(f.knownRevision.Load(), f.now())
 	if !ok {
 		return
 	}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -58,7 +58,6 @@
 	lastContact   atomic.Int64
 	lastReceived  atomic.Int64        // When the last part of a response to a watch arrived, or 0.
 	knownRevision storer.RevisionMark // The store's revision that the replica has reached.
-	peerRevision  storer.RevisionMark // The latest revision that a peer or a probe has reported.
 	catchUp       catchUp
 	lostAt        atomic.Int64 // When the store became unreachable for this instance, or 0.
 	activeWatch   atomic.Pointer[activeWatch]
@@ -151,7 +150,6 @@
 	if !revision.After(f.knownRevision.Load()) {
 		return
 	}
-	f.peerRevision.Advance(revision)
 	f.catchUp.begin(revision, f.now())
 	w := f.activeWatch.Load()
 	if w == nil {
@@ -266,6 +264,9 @@
 	f.direct.Store(!relayed)
 	f.source.Store(storer.Name(store))
 	f.advance(read.result.Revision())
+	if !relayed {
+		f.catchUp.refute(read.startedAt)
+	}
 	f.replica.Replace(read.result.Pairs())
 	f.replica.Expire(time.Now())
 	f.publish()
--- a/follower/source.go
+++ b/follower/source.go
@@ -63,7 +63,7 @@
 		sources = append(sources, relaySource{store: relay})
 	}
 	sources = append(sources, storeSource{store: f.store})
-	if !f.peerRevision.Load().After(f.knownRevision.Load()) {
+	if target, _ := f.catchUp.pending(); target.IsZero() {
 		return sources
 	}
 	fallbacks := f.relays.fallbacks()
@@ -75,16 +75,28 @@
 
 // keysRead is a read of all keys.
 type keysRead struct {
-	result storer.RangeResult
-	took   time.Duration
+	result    storer.RangeResult
+	startedAt time.Duration
+	took      time.Duration
+}
+
+// BehindError reports a relay or fallback whose keys lack a revision that peers know.
+type BehindError struct {
+	known storer.Revision
+	read  storer.Revision
+}
+
+// Error implements error.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("keys were read at revision %s; peers know revision %s", e.read, e.known)
 }
 
 // read reads the keys from one source. The error is a *StaleReadError if they are older
 // than the replica's.
 func (f *Follower) read(ctx context.Context, store storer.Store) (read keysRead, err error) {
-	started := time.Now()
+	read.startedAt = f.now()
 	panicked := recoverer.Do(f.log, "read of the keys", func() { read.result, err = storer.Range(ctx, store, f.prefix) })
-	read.took = time.Since(started)
+	read.took = f.now() - read.startedAt
 	if have := f.knownRevision.Load(); err == nil && read.result.Revision().Before(have) {
 		err = &StaleReadError{have: have, read: read.result.Revision()}
 	}
@@ -105,9 +117,10 @@
 // Unwrap returns why the read of the store failed.
 func (e *UnreadError) Unwrap() error { return e.store }
 
-// readFirst reads the keys from the first source that delivers them. The sources are read
-// one after another, and at the same time if one does not answer soon. The error is an
-// *UnreadError if none delivers them.
+// readFirst reads the keys from the first source that delivers them at the revision that
+// peers know. The sources are read one after another, and at the same time if one does not
+// answer soon. If all are behind, the latest of them counts. The error is an *UnreadError
+// if none delivers the keys.
 func (f *Follower) readFirst(ctx context.Context) (source, keysRead, error) {
 	sources := f.sources()
 	reads := make([]keysRead, len(sources))
@@ -115,7 +128,7 @@
 	isRelay := f.direct.Load()
 	for n, s := range sources {
 		tries = append(tries, func(ctx context.Context) (err error) {
-			reads[n], err = f.read(ctx, storeOf(s))
+			reads[n], err = f.readSource(ctx, s)
 			if _, ok := s.(storeSource); ok && isRelay && err != nil && ctx.Err() == nil {
 				f.recordFailure(err) // Others read from this instance: they must not wait for its other sources.
 			}
@@ -128,22 +141,51 @@
 	}
 	storeErr := f.reportFailures(sources, errs)
 	if winner == hedger.NoWinner {
-		if !isRelay {
-			f.recordFailure(storeErr)
-		}
-		return nil, keysRead{}, &UnreadError{store: storeErr}
+		winner = latestBehind(reads, errs)
 	}
-	if _, ok := sources[winner].(fallbackSource); ok && !isRelay && storeErr != nil {
+	usesStore := winner != hedger.NoWinner && isStoreOrRelay(sources[winner])
+	if !usesStore && !isRelay && storeErr != nil {
 		f.recordFailure(storeErr)
 	}
+	if winner == hedger.NoWinner {
+		return nil, keysRead{}, &UnreadError{store: storeErr}
+	}
 	return sources[winner], reads[winner], nil
 }
 
+// readSource reads the keys from a source. The error is a *BehindError if they lack a
+// revision that peers know, unless the source is the store itself, which has the latest.
+func (f *Follower) readSource(ctx context.Context, s source) (keysRead, error) {
+	known, _ := f.catchUp.pending()
+	read, err := f.read(ctx, storeOf(s))
+	if _, ok := s.(storeSource); ok || err != nil || !read.result.Revision().Before(known) {
+		return read, err
+	}
+	return read, &BehindError{known: known, read: read.result.Revision()}
+}
+
+// latestBehind returns which of the reads that are behind is the latest, or NoWinner.
+func latestBehind(reads []keysRead, errs []error) int {
+	latest := hedger.NoWinner
+	for n, err := range errs {
+		var behind *BehindError
+		if errors.As(err, &behind) && (latest == hedger.NoWinner || reads[n].result.Revision().After(reads[latest].result.Revision())) {
+			latest = n
+		}
+	}
+	return latest
+}
+
+func isStoreOrRelay(s source) bool {
+	_, ok := s.(fallbackSource)
+	return !ok
+}
+
 // hedgeDelay returns how long a source may take to begin its answer. While peers know a
 // later revision, the sources share what is left of the time in which all are asked.
 func (f *Follower) hedgeDelay(sources int) time.Duration {
-	since, ok := f.catchUp.pending()
-	if !ok {
+	target, since := f.catchUp.pending()
+	if target.IsZero() {
 		return maxHedgeDelay
 	}
 	left := since + catchUpTimeouts*f.catchUpTimeout() - f.now()
@@ -166,9 +208,10 @@
 }
 
 // reportFailure reports a relay or fallback that failed, unless it has only compacted its
-// history.
+// history. A fallback that is behind may have caught up by the next read.
 func (f *Follower) reportFailure(s source, err error) {
 	var compacted *storer.CompactedError
+	var behind *BehindError
 	if err == nil || errors.As(err, &compacted) {
 		return
 	}
@@ -177,6 +220,9 @@
 		f.log.Info().Err(err).Str("source", storer.Name(s.store)).Msg("relay failed; trying the next one or the store")
 		f.relays.reportFailure(s.store)
 	case fallbackSource:
+		if errors.As(err, &behind) {
+			return
+		}
 		f.log.Info().Err(err).Str("source", storer.Name(s.store)).Msg("fallback relay failed")
 		f.relays.reportFailure(s.store)
 	case storeSource:
--- a/follower/sources_test.go
+++ b/follower/sources_test.go
@@ -35,7 +35,8 @@
 	serves   behaviour = iota // It answers on a slow link.
 	refuses                   // It waits for a while and then refuses.
 	isSilent                  // It does not answer.
-	lags                      // It answers with old keys.
+	lags                      // It answers with older keys than this instance has.
+	isBehind                  // It answers with the keys that this instance has.
 )
 
 // source is a source of the keys at a revision that may be later than the old one.
@@ -51,6 +52,9 @@
 		case lags:
 			time.Sleep(200 * time.Millisecond)
 			return storer.NewRangeResult(nil, revision(90)), nil
+		case isBehind:
+			time.Sleep(200 * time.Millisecond)
+			return storer.NewRangeResult(nil, revision(100)), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -78,6 +82,8 @@
 		{"relays refuse", []behaviour{refuses, refuses}, serves, nil},
 		{"relays are silent", []behaviour{isSilent, isSilent}, serves, nil},
 		{"relays lag", []behaviour{lags, lags}, serves, nil},
+		{"relays are behind", []behaviour{isBehind, isBehind}, serves, nil},
+		{"relays and peers are behind", []behaviour{isBehind, isBehind}, refuses, []behaviour{isBehind, isBehind, serves}},
 		{"relays and the store refuse", []behaviour{refuses, refuses}, refuses, []behaviour{serves}},
 		{"relays refuse and the store is silent", []behaviour{refuses, refuses}, isSilent, []behaviour{refuses, refuses, serves}},
 		{"one relay is silent", []behaviour{isSilent, serves}, isSilent, nil},
@@ -189,3 +195,34 @@
 		f.Close()
 	})
 }
+
+// Guards against a revision that does not exist, by which an instance takes its relays for
+// ones that are behind, and asks all sources at once, for good.
+func TestRevisionThatTheStoreNeverHad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var storeReads, relayReads atomic.Int64
+		counting := func(name string, reads *atomic.Int64, poll time.Duration) storer.Store {
+			return storer.NewRemote(storer.WithName(name),
+				storer.WithRange(func(context.Context, string) (storer.RangeResult, error) {
+					reads.Add(1)
+					time.Sleep(2 * time.Second / 10) // Longer than the shortest pause between two sources.
+					return storer.NewRangeResult(nil, revision(100)), nil
+				}),
+				storer.WithPoll(func(context.Context, string, storer.Revision) (storer.Batch, error) {
+					time.Sleep(poll)
+					return storer.Batch{}, storer.NewCompactedError(revision(100))
+				}, 0))
+		}
+		relay := counting("relay", &relayReads, time.Second)
+		relays := follower.NewRelays(func() bool { return true }, func() []storer.Store { return []storer.Store{relay} }, func(storer.Store) {}, watchTime)
+		f := follower.New(counting("store", &storeReads, time.Second), "", func([]storer.Pair, storer.RangeResult) {}, zerolog.Nop(), follower.WithRelays(relays))
+		f.Start()
+		time.Sleep(1500 * time.Millisecond)
+		f.NotifyRevision(revision(1 << 40))
+		time.Sleep(20 * time.Second)
+		f.Close()
+		c.Check(storeReads.Load(), qt.Equals, int64(1))
+		c.Check(relayReads.Load() > 10, qt.IsTrue, qt.Commentf("%d reads", relayReads.Load()))
+	})
+}
