--- a/fetcher/late_test.go
+++ b/fetcher/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,24 +45,11 @@
 				c := qt.New(t)
 				var inForce atomic.Int64
 				inForce.Store(1)
-				silent := map[string]bool{}
-				for _, name := range test.silent {
-					silent[name+":1"] = true
-				}
 				reached := make(chan time.Time, 16)
 				hooks := fetcher.NewHooks(
 					func() descriptor.Revision { return descriptor.Revision(inForce.Load()) },
 					func(ctx context.Context, address string) ([]byte, error) {
-						if !silent[address] {
-							time.Sleep(200 * time.Millisecond)
-							return []byte("2"), nil
-						}
-						select {
-						case <-time.After(fetchTimeout):
-							return nil, errors.New("timeout")
-						case <-ctx.Done():
-							return nil, ctx.Err()
-						}
+						return fetchSlowly(ctx, slices.Contains(test.silent, strings.TrimSuffix(address, ":1")))
 					},
 					func([]byte, string) (descriptor.Revision, error) {
 						inForce.Store(2)
@@ -91,6 +80,20 @@
 	}
 }
 
+// fetchSlowly returns a configuration after a while, or an error if the peer is silent.
+func fetchSlowly(ctx context.Context, silent bool) ([]byte, error) {
+	if !silent {
+		time.Sleep(200 * time.Millisecond)
+		return []byte("2"), nil
+	}
+	select {
+	case <-time.After(fetchTimeout):
+		return nil, errors.New("timeout")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Guards against an unexpected error in one peer's configuration that ends the process.
 func TestPanicOfAFetchIsAFailure(t *testing.T) {
 	c := qt.New(t)
--- a/relayer/large_test.go
+++ b/relayer/large_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +12,7 @@
 	"burdocklane/throttler"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -44,29 +44,11 @@
 			_, err := storer.Range(ctx, newSource(client, address, known(2), func(string) {}), "")
 			return err
 		}},
-		{"changes", before, func(ctx context.Context, client *http.Client, address string) error {
-			store := newSource(client, address, known(2), func(string) {})
-			result, err := storer.Range(ctx, store, "")
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			got := false
-			err = storer.Watch(ctx, store, "", result.Revision(), func(b storer.Batch) {
-				if got = len(b.Events()) > 0; got {
-					cancel()
-				}
-			})
-			if got {
-				return nil
-			}
-			return err
-		}},
+		{"changes", before, readChange},
 		{"a peer's copy of the configuration", all, func(ctx context.Context, client *http.Client, address string) error {
 			got, err := (&ConfigurationClient{client: client}).Fetch(ctx, address)
 			if err == nil && len(got) != len(value) {
-				return fmt.Errorf("%d bytes of %d", len(got), len(value))
+				return errors.Errorf("%d bytes of %d", len(got), len(value))
 			}
 			return err
 		}},
@@ -100,6 +82,27 @@
 	}
 }
 
+// readChange reads all keys and waits for the first change.
+func readChange(ctx context.Context, client *http.Client, address string) error {
+	store := newSource(client, address, known(2), func(string) {})
+	result, err := storer.Range(ctx, store, "")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	got := false
+	err = storer.Watch(ctx, store, "", result.Revision(), func(b storer.Batch) {
+		if got = len(b.Events()) > 0; got {
+			cancel()
+		}
+	})
+	if got {
+		return nil
+	}
+	return err
+}
+
 func known(number int64) func() storer.Revision {
 	return func() storer.Revision { return revision(number) }
 }
