Give tests ports that are free for both protocols, and show why an instance did not start

Ports for datagrams and relays were looked at by UDP only. launcher.FreePair looks at both protocols, the soak uses the same function, and a start that fails ends its test with the error.

--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -32,35 +30,12 @@
 	hangs    bool // The workers do not respond to calls.
 }
 
-// randomPort returns a port below the ephemeral range, so that no other process
-// gets it from the system.
-func randomPort() int { return 10_000 + rand.IntN(20_000) }
-
 func freePort(c *qt.C) string {
 	addresses, err := launcher.FreePorts("127.0.0.1", 1)
 	c.Assert(err, qt.IsNil)
 	return addresses[0]
 }
 
-// freePair returns the first of two adjacent free UDP ports.
-func freePair(c *qt.C) int {
-	for range 1000 {
-		port := randomPort()
-		first, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
-		if err != nil {
-			continue
-		}
-		second, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port + 1})
-		first.Close()
-		if err == nil {
-			second.Close()
-			return port
-		}
-	}
-	c.Fatal("no two adjacent UDP ports are free")
-	return 0
-}
-
 func newEnvironment(c *qt.C) *environment {
 	store := imitator.NewStore()
 	c.Cleanup(store.Close)
@@ -71,13 +46,15 @@
 func startInstance(c *qt.C, store *imitator.Store, name, zone, storeAddress string) *environment {
 	e := newInstance(c, store, name, zone, storeAddress)
 	e.start()
+	c.Assert(e.instance, qt.IsNotNil)
 	return e
 }
 
 // newInstance returns an instance that has not been started.
 func newInstance(c *qt.C, store *imitator.Store, name, zone, storeAddress string) *environment {
 	e := &environment{c: c, store: store, callers: freePort(c), ready: freePort(c)}
-	port := freePair(c)
+	port, err := launcher.FreePair("127.0.0.1")
+	c.Assert(err, qt.IsNil)
 	settings, err := adapter.ParseSettings(fmt.Appendf(nil, `NodeName=%s
 Ip=127.0.0.1
 Zone=%s
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -291,33 +289,6 @@
 	}
 }
 
-const (
-	// minPort and maxPort bound the ports assigned to processes, from minPort up
-	// to but not including maxPort. They are below the system's ephemeral ports,
-	// which another process could take before the started one binds its port.
-	minPort         = 10_000
-	maxPort         = 30_000
-	maxPortAttempts = 1000
-)
-
-// FreePorts returns addresses on the host that are currently not in use.
-func FreePorts(host string, count int) ([]string, error) {
-	var addresses []string
-	for range maxPortAttempts {
-		if len(addresses) == count {
-			return addresses, nil
-		}
-		port := minPort + rand.IntN(maxPort-minPort)
-		socket, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(port)))
-		if err != nil {
-			continue
-		}
-		defer socket.Close()
-		addresses = append(addresses, socket.Addr().String())
-	}
-	return nil, errors.Errorf("found only %d of %d free ports on %s", len(addresses), count, host)
-}
-
 // SetBehaviour changes the emulated behaviour of a running worker.
 func (w *Worker) SetBehaviour(ctx context.Context, b emulator.Behaviour) error {
 	data, err := emulator.EncodeBehaviour(b)
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -197,7 +197,7 @@
 		first := minPort + int(lastPortBlock.Add(1)%portBlocks)*portsPerInstance
 		free := true
 		for port := first; port < first+portsPerInstance; port++ {
-			free = free && isFree(port)
+			free = free && launcher.IsFree(host, port)
 		}
 		if free {
 			return first
@@ -208,20 +208,6 @@
 }
 
 // isFree reports whether the port is free for connections and for datagrams.
-func isFree(port int) bool {
-	listener, err := net.Listen("tcp", address(port))
-	if err != nil {
-		return false
-	}
-	defer listener.Close()
-	socket, err := net.ListenPacket("udp4", address(port))
-	if err != nil {
-		return false
-	}
-	defer socket.Close()
-	return true
-}
-
 func address(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
 
 func (f *fleet) addInstance(name, zone string) {
