Let a transfer stand still for 2 s before it is given up

The machine does that to a reader whose processor is taken; giving up begins the transfer again, which is the fault that mends. Since other sources are read as soon as none has sent a part of its answer for 0.05 to 0.35 s, a longer limit costs no time.

--- a/relayer/source.go
+++ b/relayer/source.go
@@ -19,8 +19,8 @@
 	// that it holds the request.
 	responseTimeout = 500 * time.Millisecond
 	// stallTimeout is how long a response may stand still: all instances of a zone may
-	// read at once over the relay's link.
-	stallTimeout = 800 * time.Millisecond
+	// read at once over the relay's link. Other sources are read long before.
+	stallTimeout = 2 * time.Second
 	// firstReadTimeout is how long a relay may take to begin to deliver all keys to an
 	// instance that knows none yet.
 	firstReadTimeout = 1200 * time.Millisecond
