Answer the requests that have arrived when a planned stop closes the port

Cause: a stop closed the listening socket, and the system resets the connections that wait in its queue. And net/http drops a request that it has read after its Shutdown has begun, without an answer.

Change: Close first takes the queue, without a wait, then waits until the requests that have arrived are in the handler (0.5 s at most), and only then shuts down. A connection that has sent nothing is closed as before.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -13,14 +13,20 @@
 	"golang.org/x/net/netutil"
 )
 
+// maxArrivalTime is how long a stop waits for the requests that have arrived to be read.
+const maxArrivalTime = 500 * time.Millisecond
+
 // Listener accepts callers' connections over HTTP/1.1 and over unencrypted
 // HTTP/2 with prior knowledge.
 type Listener struct {
-	server       *http.Server
-	socket       net.Listener
-	serving      sync.WaitGroup
-	drainTimeout time.Duration
-	inFlight     func() int64
+	server         *http.Server
+	socket         *drainableSocket
+	arrivals       *arrivals
+	accepted       chan struct{} // Closed when no more connections are accepted.
+	serving        sync.WaitGroup
+	maxConnections int
+	drainTimeout   time.Duration
+	inFlight       func() int64
 }
 
 // Option sets one property of a Listener.
@@ -32,19 +38,38 @@
 
 // New binds the address and starts to serve callers with the handler.
 func New(address string, handler http.Handler, limits parser.Limits, opts ...Option) (*Listener, error) {
-	socket, err := net.Listen("tcp", address)
+	l, err := newListener(address, handler, limits, opts...)
+	if err != nil {
+		return nil, err
+	}
+	l.serve()
+	return l, nil
+}
+
+// newListener binds the address.
+func newListener(address string, handler http.Handler, limits parser.Limits, opts ...Option) (*Listener, error) {
+	bound, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
+	socket, ok := bound.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Errorf("listen for callers: %s is no TCP address", address)
+	}
+	waiting := newArrivals()
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	l := &Listener{
-		socket:       socket,
-		drainTimeout: limits.DrainTimeout(),
-		inFlight:     func() int64 { return 1 },
+		socket:         &drainableSocket{TCPListener: socket, accepted: waiting.add},
+		arrivals:       waiting,
+		accepted:       make(chan struct{}),
+		maxConnections: limits.MaxConnections(),
+		drainTimeout:   limits.DrainTimeout(),
+		inFlight:       func() int64 { return 1 },
 		server: &http.Server{
-			Handler:           handler,
+			Handler:           waiting.handler(handler),
+			ConnState:         waiting.observe,
 			Protocols:         protocols,
 			ReadHeaderTimeout: limits.HeaderTimeout(),
 			IdleTimeout:       limits.IdleTimeout(),
@@ -54,20 +79,26 @@
 	for _, opt := range opts {
 		opt(l)
 	}
+	return l, nil
+}
+
+func (l *Listener) serve() {
 	l.serving.Go(func() {
-		l.server.Serve(netutil.LimitListener(socket, limits.MaxConnections())) //nolint:errcheck // Always ErrServerClosed.
+		defer close(l.accepted)
+		l.server.Serve(netutil.LimitListener(l.socket, l.maxConnections)) //nolint:errcheck // The socket was closed.
 	})
-	return l, nil
 }
 
 // Address returns the host:port that the listener is bound to.
 func (l *Listener) Address() string { return l.socket.Addr().String() }
 
 // Close stops accepting connections and waits up to the drain timeout for calls
-// in flight. It returns an error if it had to abort any.
+// in flight, among them those that have arrived and were not read yet. It returns an error
+// if it had to abort any.
 func (l *Listener) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), l.drainTimeout)
 	defer cancel()
+	l.takeArrivals(ctx)
 	err := l.server.Shutdown(ctx)
 	aborted := err != nil && l.inFlight() > 0
 	if err != nil {
@@ -79,3 +110,16 @@
 	}
 	return nil
 }
+
+// takeArrivals accepts the connections that wait, closes the socket and waits until the
+// requests that have arrived are handled.
+func (l *Listener) takeArrivals(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxArrivalTime)
+	defer cancel()
+	l.socket.drain()
+	select {
+	case <-l.accepted:
+	case <-ctx.Done(): // As many connections as are allowed are open.
+	}
+	l.arrivals.waitUntilHandled(ctx)
+}
