Review case 2: an old heartbeat reopens a worker that is draining

The store executes a worker's heartbeat (Seq 2, ready) 5.2 s late, after its report of draining (Seq 5).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Workers crash and are silent while they write long answers.
+# A worker's old heartbeat, whose answer was lost, is executed after its report of draining.
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd)
@@ -9,4 +9,4 @@
 	echo "build the program as deploy/system.toml says, and run review/build.sh" >&2
 	exit 2
 fi
-exec "$standin" silent record.txt
+exec "$standin" oldbeat record.txt
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -9,6 +9,7 @@
 
 var cases = map[string]func(dir string, r *record, trouble bool) bool{
 	"leaving": caseLeaving,
+	"oldbeat": caseOldBeat,
 	"silent":  caseSilent,
 }
 
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -26,6 +26,7 @@
 	workTime time.Duration
 	body     int // Length of an answer's body.
 	record   *record
+	born     int64 // Unix milliseconds.
 	address  string
 	server   *http.Server
 
@@ -40,7 +41,7 @@
 }
 
 func startWorker(id, service string, slots int, workTime time.Duration, body int, r *record) *worker {
-	w := &worker{id: id, service: service, slots: slots, workTime: workTime, body: body, record: r, dark: make(chan struct{})}
+	w := &worker{id: id, service: service, slots: slots, workTime: workTime, body: body, record: r, born: time.Now().UnixMilli(), dark: make(chan struct{})}
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fail("listen for a worker: %v", err)
@@ -51,11 +52,14 @@
 	return w
 }
 
-// entry is the worker's entry in the store.
-func (w *worker) entry(state string) map[string]any {
+// entry is the worker's first entry in the store.
+func (w *worker) entry(state string) map[string]any { return w.entryAt(state, 1) }
+
+// entryAt is the worker's entry in the store with a sequence number.
+func (w *worker) entryAt(state string, sequence int) map[string]any {
 	return map[string]any{
 		"Service": w.service, "Address": w.address, "Zone": "pwani-kurasini", "Version": "v1", "Capacity": w.slots,
-		"State": state, "WarmupLeftMs": 0, "Seq": 1, "born": time.Now().Add(-time.Minute).UnixMilli(),
+		"State": state, "WarmupLeftMs": 0, "Seq": sequence, "born": w.born,
 	}
 }
 
