--- a/registrar/member.go
+++ b/registrar/member.go
@@ -75,6 +75,9 @@
 	return w
 }
 
+// Started returns the worker's start time in Unix milliseconds, or 0 if it is unknown.
+func (w Worker) Started() int64 { return w.started }
+
 // Sequence returns the sequence number of the registration.
 func (w Worker) Sequence() int64 { return w.sequence }
 
