Stop sending calls to a worker that announces that it is about to stop

Callers lost calls (502, and not to be sent again if they run at most once) and waited for others while workers were replaced and the store was down: instances went on sending to workers whose answers said Server-Leaving, until these exited.

Cause: the platform's dialect named no header for the announcement, and health checks read none. The worker was merely "suspect" (its health check failed) and got what others had no room for.

Change: package drainer decides which starts of workers may get calls. An announcement is final for its start (ID and born), whatever the list says later; a new start or a new ID gets calls at once. It is read in each answer, also one that fails, is declined or is sent again, and in health checks; the 421 of another worker says nothing of the one that was meant. The worker is looked at once more right before a call is sent.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -15,6 +15,7 @@
 
 	"burdocklane/asserter"
 	"burdocklane/dispatcher"
+	"burdocklane/drainer"
 	"burdocklane/fetcher"
 	"burdocklane/follower"
 	"burdocklane/gossiper"
@@ -65,6 +66,9 @@
 	connectTimeout      = 300 * time.Millisecond
 	// retryBudgetUse is the fraction of the fleet's retry budget that is used.
 	retryBudgetUse = 0.85
+	// leavingGraceRatio is the fraction of the time for draining in which a worker that is
+	// about to stop still gets the calls that no other worker can take.
+	leavingGraceRatio = 0.5
 	// firstConfigurationTimeout is how long the opening of the callers' port waits
 	// for the first configuration.
 	firstConfigurationTimeout = time.Second
@@ -88,6 +92,7 @@
 	logWriter    io.Closer
 	asserter     *asserter.Asserter
 	recorder     *recorder.Recorder
+	ledger       *drainer.Ledger
 	publisher    *publisher.Publisher
 	dispatcher   *dispatcher.Dispatcher
 	sender       *sender.Sender
@@ -145,15 +150,17 @@
 func (p *Process) buildCallPipeline() {
 	p.asserter = asserter.New(p.log)
 	p.recorder = recorder.New(p.log, recorder.WithBufferSize(decisionBuffer), recorder.WithRecentSize(recentDecisions))
+	p.ledger = drainer.New(drainer.WithLog(p.log))
 	p.publisher = publisher.New(p.self(),
-		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithAssigner(p.requestAssignment)),
+		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithAssigner(p.requestAssignment),
+			limiter.WithLedger(p.ledger), limiter.WithLeavingGrace(time.Duration(leavingGraceRatio*float64(p.settings.DrainTimeout())))),
 		publisher.WithRetryBudget(publisher.NewRetryBudget(retryBudgetUse*p.settings.RetryBudgetRatio(), retryBudgetUse*p.settings.RetryBudgetExtra())))
 	p.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
 		sender.WithIdleTimeout(upstreamIdleTimeout),
 		sender.WithResponseBuffer(bufferedResponseBytes),
 		sender.WithEchoHeader(adapter.HeaderRequestID))
-	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad)
+	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad, healthchecker.WithLeavingHeader(adapter.HeaderLeaving))
 	p.dispatcher = dispatcher.New(p.publisher, p.recorder, p.asserter, dispatcher.WithVerifier(verifier.New(p.checker)))
 }
 
--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -16,6 +16,9 @@
 // is released, and the call is admitted again for another worker.
 func (c *activeCall) isVerified(granted limiter.Granted) bool {
 	rejected, ok := c.verdict(granted).(verifier.Rejected)
+	if !ok && c.serviceState.Pool().IsClosed(granted.Worker()) { // That was learnt after the slot was granted.
+		rejected, ok = verifier.NewRejected("leaving"), true
+	}
 	if !ok {
 		return true
 	}
--- /dev/null
+++ b/drainer/ledger.go
@@ -0,0 +1,115 @@
+package drainer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/registrar"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// maxRecords bounds the workers that a Ledger remembers. Workers come and go for as long
+// as an instance runs.
+const maxRecords = 8192
+
+// announcedTotal counts the starts that have announced that they are about to stop.
+var announcedTotal = metrics.NewCounter("burdocklane_workers_announced_leaving_total")
+
+// Ledger holds what is known of the starts of workers. It is safe for concurrent use, and
+// its zero value is ready to use.
+type Ledger struct {
+	log     zerolog.Logger
+	records sync.Map // From registrar.WorkerID to *record.
+	count   atomic.Int32
+	pruning sync.Mutex // Serializes the removal of old records.
+}
+
+// Option sets one property of a Ledger.
+type Option func(*Ledger)
+
+// WithLog sets the log that gets a line for each announcement. The default is none.
+func WithLog(log zerolog.Logger) Option { return func(l *Ledger) { l.log = log } }
+
+// New returns a Ledger that knows no worker.
+func New(opts ...Option) *Ledger {
+	l := &Ledger{log: zerolog.Nop()}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+// Observe takes a fact into account that has arrived now, and returns the standing of the
+// start that it is about.
+func (l *Ledger) Observe(f Fact, now time.Time) Standing {
+	member := f.worker()
+	for {
+		stored, old := l.load(member.ID())
+		next := old.with(f, now)
+		if next == old {
+			return next.standingOf(member)
+		}
+		if l.replace(member.ID(), stored, &next) {
+			l.logChange(f, old, next)
+			return next.standingOf(member)
+		}
+	}
+}
+
+// Standing returns the standing of a start of a worker.
+func (l *Ledger) Standing(member registrar.Worker) Standing {
+	_, known := l.load(member.ID())
+	return known.standingOf(member)
+}
+
+// load returns the record of a worker, also as it is stored. Both are empty for an unknown
+// worker.
+func (l *Ledger) load(id registrar.WorkerID) (stored *record, known record) {
+	if found, ok := l.records.Load(id); ok {
+		stored = found.(*record)
+		return stored, *stored
+	}
+	return nil, record{}
+}
+
+// replace stores the next record of a worker, and returns false if the stored one has
+// changed meanwhile.
+func (l *Ledger) replace(id registrar.WorkerID, stored, next *record) bool {
+	if stored != nil {
+		return l.records.CompareAndSwap(id, stored, next)
+	}
+	if _, exists := l.records.LoadOrStore(id, next); exists {
+		return false
+	}
+	if l.count.Add(1) > maxRecords {
+		l.prune()
+	}
+	return true
+}
+
+// prune forgets the worker whose announcement is the oldest.
+func (l *Ledger) prune() {
+	l.pruning.Lock()
+	defer l.pruning.Unlock()
+	var oldest *record
+	l.records.Range(func(_, value any) bool {
+		if r := value.(*record); oldest == nil || r.announcedAt.Before(oldest.announcedAt) {
+			oldest = r
+		}
+		return true
+	})
+	if oldest != nil && l.records.CompareAndDelete(oldest.member.ID(), oldest) {
+		l.count.Add(-1)
+	}
+}
+
+func (l *Ledger) logChange(f Fact, old, next record) {
+	if a, ok := f.(Announced); ok && (old.announcedAt.IsZero() || !old.member.SameIncarnation(next.member)) {
+		announcedTotal.Inc()
+		l.log.Info().Str("worker", string(a.member.ID())).Int64("start", a.member.Started()).
+			Int64("sequence", a.member.Sequence()).Str("signal", string(a.signal)).Msg("worker has announced that it is about to stop")
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"burdocklane/descriptor"
+	"burdocklane/drainer"
 	"burdocklane/healthchecker"
 	"burdocklane/publisher"
 	"burdocklane/recoverer"
@@ -256,6 +257,9 @@
 		t.pool.MarkLeaving(t.worker)
 		return
 	}
+	if healthchecker.AnnouncesLeaving(health) {
+		t.pool.RecordAnnouncement(t.worker.Member(), drainer.SignalHealthCheck)
+	}
 	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
 	}
--- a/healthchecker/healthchecker.go
+++ b/healthchecker/healthchecker.go
@@ -24,11 +24,11 @@
 type Health interface{ health() }
 
 // Healthy is the result for a worker that reports that it is healthy.
-type Healthy struct{ load loadReading }
+type Healthy struct{ reading reading }
 
 // Unhealthy is the result for a worker that reports that it is unhealthy or about to
 // stop.
-type Unhealthy struct{ load loadReading }
+type Unhealthy struct{ reading reading }
 
 // Unreachable is the result for a worker that did not answer.
 type Unreachable struct{ err error }
@@ -41,24 +41,34 @@
 func (Unreachable) health() {}
 func (WrongWorker) health() {}
 
-// loadReading is the load report of a response, if the response has one.
-type loadReading struct {
-	load  parser.Load
-	known bool
+// reading is what a response says beside the worker's health.
+type reading struct {
+	load      parser.Load
+	loadKnown bool // The response has a load report.
+	leaving   bool // The worker announces that it is about to stop.
 }
 
-// LoadOf returns the load report of a result, and false if there is none.
-func LoadOf(health Health) (parser.Load, bool) {
+// readingOf returns what the response of a result says beside the worker's health.
+func readingOf(health Health) reading {
 	switch h := health.(type) {
 	case Healthy:
-		return h.load.load, h.load.known
+		return h.reading
 	case Unhealthy:
-		return h.load.load, h.load.known
+		return h.reading
 	case Unreachable, WrongWorker:
 	}
-	return parser.Load{}, false
+	return reading{}
+}
+
+// LoadOf returns the load report of a result, and false if there is none.
+func LoadOf(health Health) (parser.Load, bool) {
+	r := readingOf(health)
+	return r.load, r.loadKnown
 }
 
+// AnnouncesLeaving reports whether the worker has announced that it is about to stop.
+func AnnouncesLeaving(health Health) bool { return readingOf(health).leaving }
+
 // Err returns the error of the request. It may be nil.
 func (u Unreachable) Err() error { return u.err }
 
@@ -67,15 +77,27 @@
 
 // Checker runs health checks.
 type Checker struct {
-	sender       *sender.Sender
-	workerHeader string
-	loadHeader   string
+	sender        *sender.Sender
+	workerHeader  string
+	loadHeader    string
+	leavingHeader string
 }
 
+// Option sets one property of a Checker.
+type Option func(*Checker)
+
+// WithLeavingHeader names the header by which a worker announces that it is about to stop.
+// The default is none.
+func WithLeavingHeader(name string) Option { return func(c *Checker) { c.leavingHeader = name } }
+
 // New returns a Checker that sends requests through s. The headers named here hold the
 // ID of the worker and its load report in a response.
-func New(s *sender.Sender, workerHeader, loadHeader string) *Checker {
-	return &Checker{sender: s, workerHeader: workerHeader, loadHeader: loadHeader}
+func New(s *sender.Sender, workerHeader, loadHeader string, opts ...Option) *Checker {
+	c := &Checker{sender: s, workerHeader: workerHeader, loadHeader: loadHeader}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Check sends a health check to the path of a worker.
@@ -106,12 +128,10 @@
 		return WrongWorker{id: registrar.WorkerID(id)}
 	}
 	// A missing or malformed load report does not change the health of the worker.
-	var reading loadReading
-	if load, err := parser.ParseLoad(response.Header.Get(c.loadHeader)); err == nil {
-		reading = loadReading{load: load, known: true}
-	}
+	load, err := parser.ParseLoad(response.Header.Get(c.loadHeader))
+	r := reading{load: load, loadKnown: err == nil, leaving: parser.ParseLeaving(response.Header.Get(c.leavingHeader))}
 	if response.StatusCode == http.StatusOK {
-		return Healthy{load: reading}
+		return Healthy{reading: r}
 	}
-	return Unhealthy{load: reading}
+	return Unhealthy{reading: r}
 }
--- a/limiter/candidates.go
+++ b/limiter/candidates.go
@@ -46,6 +46,14 @@
 	return candidates
 }
 
+// admitLastResort uses the workers that are about to stop and still serve: all workers of
+// a service may leave at once, before the list has new ones.
+func admitLastResort(candidates []picker.Candidate) {
+	for i, c := range candidates {
+		candidates[i] = c.AsLastResort()
+	}
+}
+
 // readmit uses ejected workers again if they exceed the allowed share of all
 // workers, or of those in the local region.
 func readmit(candidates []picker.Candidate, ejected int) {
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -10,6 +10,7 @@
 
 	"burdocklane/budgeter"
 	"burdocklane/descriptor"
+	"burdocklane/drainer"
 	"burdocklane/picker"
 	"burdocklane/registrar"
 	"burdocklane/tracker"
@@ -82,6 +83,8 @@
 	assigner      Assigner
 	demand        chan SlotDemand
 	probeRequests chan<- *Pool
+	ledger        *drainer.Ledger
+	leavingGrace  time.Duration
 }
 
 // Option configures a Pool.
@@ -109,6 +112,14 @@
 	return func(p *Pool) { p.probeRequests = probeRequests }
 }
 
+// WithLedger sets the ledger of the starts of workers, which outlasts their entries in the
+// list. By default, the pool has its own.
+func WithLedger(l *drainer.Ledger) Option { return func(p *Pool) { p.ledger = l } }
+
+// WithLeavingGrace sets for how long a worker that has announced that it is about to stop
+// still gets the calls that no other worker can take. The default is not at all.
+func WithLeavingGrace(grace time.Duration) Option { return func(p *Pool) { p.leavingGrace = grace } }
+
 // runtimeSource is a rand.Source backed by the runtime's per-thread generator.
 type runtimeSource struct{}
 
@@ -126,6 +137,7 @@
 		rng:          rand.New(runtimeSource{}),
 		queue:        newQueue(),
 		remoteBudget: budgeter.NewAttemptBudget(remoteShare),
+		ledger:       drainer.New(),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -204,6 +216,7 @@
 	if w == nil || !w.Member().SameIncarnation(member) {
 		w = tracker.NewWorker(member, distance, cold)
 		w.SetColdUntil(p.Now() + member.ColdFor())
+		p.applyStanding(w, member)
 	} else if w.Member().Leaving() && !member.Leaving() {
 		w.ClearLeaving()
 	}
@@ -214,6 +227,15 @@
 	return w
 }
 
+// applyStanding marks a worker that has just been listed as its start is known already.
+func (p *Pool) applyStanding(w *tracker.Worker, member registrar.Worker) {
+	switch s := p.ledger.Standing(member).(type) {
+	case drainer.Leaving:
+		w.Announce(p.Now()-time.Since(s.Since()), p.leavingGrace)
+	case drainer.Open:
+	}
+}
+
 // Acquire grants a slot at once or after queueing for one, or refuses the
 // call.
 func (p *Pool) Acquire(ctx context.Context, req Request) Admission {
@@ -262,6 +284,10 @@
 	for range maxAcquireAttempts {
 		now := p.Now()
 		candidates := p.buildCandidates(buffer[:0], workers, req, now, summary)
+		isNoneUsable := summary.usable == 0 && len(workers) == len(set.workers)
+		if req.lastResort || isNoneUsable && !req.hedge {
+			admitLastResort(candidates)
+		}
 		decision := picker.Pick(policy, candidates, p.rng)
 		send, ok := decision.(picker.Send)
 		if _, refused := decision.(picker.Refuse); refused && len(workers) < len(set.workers) {
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -81,7 +81,7 @@
 }
 
 // acquireUrgent sends a call that has waited for capacity to a congested or
-// slow worker, or refuses it.
+// slow worker, or else to one that is about to stop and still serves, or refuses it.
 func (p *Pool) acquireUrgent(w *waiter, arrival time.Time, summary CandidateSummary) Admission {
 	p.mutex.Lock()
 	removed := p.queue.remove(w)
@@ -91,6 +91,10 @@
 	}
 	p.waiting.Add(-1)
 	worker, decision := p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+	if _, ok := decision.(picker.Send); !ok {
+		w.req.lastResort = true
+		worker, decision = p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+	}
 	if _, ok := decision.(picker.Send); !ok {
 		return Refused{reason: ReasonOverload, waited: time.Since(arrival), summary: summary}
 	}
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -34,6 +34,7 @@
 	localOnly      bool
 	noWait         bool
 	hedge          bool
+	lastResort     bool // Workers that are about to stop may be used beside the others.
 }
 
 // RequestOption configures an optional property of a request.
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"burdocklane/drainer"
 	"burdocklane/picker"
+	"burdocklane/registrar"
 	"burdocklane/tracker"
 )
 
@@ -93,9 +95,29 @@
 	p.dispatchAfter(g.worker.RecordOverload(retryAfter, p.Now()))
 }
 
-// MarkLeaving records that the worker announced that it is leaving.
+// MarkLeaving records that the worker seems to have left: another one answers at its
+// address.
 func (p *Pool) MarkLeaving(worker *tracker.Worker) { worker.MarkLeaving(p.Now()) }
 
+// RecordAnnouncement records that a start of a worker has announced that it is about to
+// stop. The list may have dropped the worker meanwhile, and may list it again.
+func (p *Pool) RecordAnnouncement(member registrar.Worker, signal drainer.Signal) {
+	w := p.Find(member.ID())
+	isListed := w != nil && w.Member().SameIncarnation(member)
+	if isListed && w.HasAnnounced() {
+		return
+	}
+	p.ledger.Observe(drainer.NewAnnounced(member, signal), time.Now())
+	if isListed {
+		w.Announce(p.Now(), p.leavingGrace)
+	}
+}
+
+// IsClosed reports whether the worker is about to stop and gets no calls any more.
+func (p *Pool) IsClosed(worker *tracker.Worker) bool {
+	return worker.State(0, p.Now()) == picker.Leaving
+}
+
 // dispatchAfter dispatches queued calls again once the worker is usable.
 func (p *Pool) dispatchAfter(delay time.Duration) {
 	if delay > 0 {
--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -58,14 +58,17 @@
 
 func (x *exchange) handleResponse(attempt int, call *classifier.Call, worker registrar.Worker, responded sender.Responded) retrier.Result {
 	dialect, response := x.handler.dialect, responded.Response()
+	if dialect.announcesLeaving(response) {
+		x.handler.recordAnnouncement(call, worker)
+	}
 	declined := call.Service().IsNotRunStatus(response.StatusCode) || dialect.isDeclined(response)
 	if declined && !responded.IsIdentified() {
 		response.Body.Close()
 		return retrier.NewLost(errUnidentified)
 	}
-	if response.Header.Get(HeaderDrain) != "" || dialect.isMisdirected(response) {
-		response.Header.Del(HeaderDrain)
-		x.handler.markDraining(call, worker)
+	response.Header.Del(HeaderDrain)
+	if dialect.isMisdirected(response) {
+		x.handler.markMisplaced(call, worker)
 	}
 	if text := response.Header.Get(dialect.loadHeader); dialect.loadHeader != "" && text != "" {
 		x.handler.recordLoad(call, worker, text)
--- a/listener/dialect.go
+++ b/listener/dialect.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"burdocklane/parser"
 	"burdocklane/registrar"
 )
 
@@ -17,6 +18,7 @@
 	signatureHeader string
 	loadHeader      string
 	notRunHeader    string
+	leavingHeader   string
 	omitOwnHeaders  bool
 	bufferChunks    bool
 }
@@ -63,6 +65,10 @@
 // it has not run the request.
 func WithNotRunHeader(name string) DialectOption { return func(d *Dialect) { d.notRunHeader = name } }
 
+// WithLeavingHeader names the response header by which a worker announces that it is
+// about to stop. It is passed on to the caller; the default one is not.
+func WithLeavingHeader(name string) DialectOption { return func(d *Dialect) { d.leavingHeader = name } }
+
 // WithBufferedChunks buffers short chunked request bodies, so that they can be
 // sent again.
 func WithBufferedChunks() DialectOption { return func(d *Dialect) { d.bufferChunks = true } }
@@ -74,7 +80,7 @@
 // NewDialect returns a Dialect that uses GRPCTimeout unless an option sets
 // another format.
 func NewDialect(opts ...DialectOption) Dialect {
-	d := Dialect{timeoutFormat: GRPCTimeout{}}
+	d := Dialect{timeoutFormat: GRPCTimeout{}, leavingHeader: HeaderDrain}
 	for _, opt := range opts {
 		opt(&d)
 	}
@@ -139,6 +145,12 @@
 	return d.targetHeader != "" && response.StatusCode == http.StatusMisdirectedRequest
 }
 
+// announcesLeaving reports whether the response says that its worker is about to stop. One
+// from another worker at the address says nothing about the worker that was meant.
+func (d Dialect) announcesLeaving(response *http.Response) bool {
+	return !d.isMisdirected(response) && parser.ParseLeaving(response.Header.Get(d.leavingHeader))
+}
+
 // isUnsigned reports whether a successful response lacks the signature header.
 func (d Dialect) isUnsigned(response *http.Response) bool {
 	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
--- a/listener/dialect_test.go
+++ b/listener/dialect_test.go
@@ -35,6 +35,7 @@
 	listener.WithSignatureHeader("X-Signed"),
 	listener.WithLoadHeader("X-Load"),
 	listener.WithNotRunHeader("X-Not-Run"),
+	listener.WithLeavingHeader("X-Leaving"),
 	listener.WithBufferedChunks(),
 	listener.WithoutBurdocklaneHeaders())
 
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -10,6 +10,7 @@
 	"burdocklane/asserter"
 	"burdocklane/classifier"
 	"burdocklane/dispatcher"
+	"burdocklane/drainer"
 	"burdocklane/limiter"
 	"burdocklane/parser"
 	"burdocklane/publisher"
@@ -121,9 +122,17 @@
 	return &deadlineBody{ReadCloser: limited, control: http.NewResponseController(w), timeout: h.limits.BodyTimeout()}
 }
 
-// markDraining marks a worker as draining after its response said so or came
-// from a different worker.
-func (h *Handler) markDraining(call *classifier.Call, worker registrar.Worker) {
+// recordAnnouncement records that a worker's response announced that it is about to stop.
+// The list may have dropped the worker meanwhile.
+func (h *Handler) recordAnnouncement(call *classifier.Call, worker registrar.Worker) {
+	if service := h.publisher.Current().ServiceState(call.Service().Name()); service != nil {
+		service.Pool().RecordAnnouncement(worker, drainer.SignalAnswer)
+	}
+}
+
+// markMisplaced marks a worker as leaving after a different worker has responded at its
+// address.
+func (h *Handler) markMisplaced(call *classifier.Call, worker registrar.Worker) {
 	if pool, found := h.findWorker(call, worker); found != nil {
 		pool.MarkLeaving(found)
 	}
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -41,11 +41,14 @@
 	Paused
 	// Leaving candidates take no new calls.
 	Leaving
+	// LastResort candidates are about to stop, and get calls only if no other
+	// candidate is usable.
+	LastResort
 )
 
 // String returns the name of s in logs.
 func (s State) String() string {
-	return [...]string{"usable", "suspect", "ejected", "paused", "leaving"}[s]
+	return [...]string{"usable", "suspect", "ejected", "paused", "leaving", "last-resort"}[s]
 }
 
 // Candidate is what the instance knows of one worker.
@@ -122,6 +125,14 @@
 	return c
 }
 
+// AsLastResort returns c as usable if it may serve as a last resort.
+func (c Candidate) AsLastResort() Candidate {
+	if c.state == LastResort {
+		c.state = Usable
+	}
+	return c
+}
+
 // AtDistance returns c with another distance.
 func (c Candidate) AtDistance(distance int) Candidate {
 	c.distance = uint8(distance)
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -86,6 +86,12 @@
 	return w.id == other.id && w.address == other.address && w.service == other.service && w.started == other.started
 }
 
+// StartedBefore reports whether w is an earlier start than other, of the same worker.
+// Unknown starts have no order.
+func (w Worker) StartedBefore(other Worker) bool {
+	return w.id == other.id && w.started != 0 && w.started < other.started
+}
+
 // ColdFor returns the rest of the warm-up time when the worker was listed.
 func (w Worker) ColdFor() time.Duration { return w.coldFor }
 
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -82,7 +82,7 @@
 	if service := r.owner.current().services[registrar.Hash(r.pool.Service())]; service != nil {
 		worker = service.workersByHash[reply.Worker]
 	}
-	if worker == nil || worker.LeavingFor(r.pool.Now()) > 0 {
+	if worker == nil || r.pool.IsClosed(worker) {
 		r.withdraw()
 		return limiter.Undecided{}
 	}
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -36,8 +36,9 @@
 	maxEjectionTime       = 30 * time.Second
 	maxPause              = 30 * time.Second
 	slowStartInitialLimit = 1
-	// leavingTTL is how long a worker's own announcement that it is about to stop
-	// stays valid while the platform's list has it as live.
+	// leavingTTL is how long a sign that a worker is about to stop stays valid while the
+	// platform's list has it as live: another worker answers at its address, or it has
+	// announced that itself and its starts cannot be told apart.
 	leavingTTL  = time.Minute
 	noRampLimit = math.MaxInt32 / 2
 )
@@ -59,6 +60,8 @@
 	ejectedUntil        atomic.Int64
 	pausedUntil         atomic.Int64
 	leavingSince        atomic.Int64
+	announced           atomic.Bool  // The worker itself has announced that it is about to stop.
+	lastResortUntil     atomic.Int64 // Until then, calls that no other worker can take are sent to it.
 	coldUntil           atomic.Int64
 	unhealthy           atomic.Bool
 	sent                atomic.Int64 // Calls sent since the start.
@@ -265,8 +268,21 @@
 // the worker unhealthy.
 func (w *Worker) Unhealthy() bool { return w.unhealthy.Load() }
 
-// MarkLeaving records that the worker is about to stop, by the platform's list or by the
-// worker's own announcement.
+// Announce records that this start of the worker has announced that it is about to stop.
+// That is final if its starts can be told apart. For the grace it serves as a last resort.
+func (w *Worker) Announce(now, grace time.Duration) {
+	if w.announced.CompareAndSwap(false, true) && grace > 0 {
+		w.lastResortUntil.Store(int64(now + grace))
+	}
+	w.MarkLeaving(now)
+}
+
+// HasAnnounced reports whether this start of the worker has announced that it is about to
+// stop.
+func (w *Worker) HasAnnounced() bool { return w.announced.Load() }
+
+// MarkLeaving records that the worker is about to stop, by the platform's list or since
+// another worker answers at its address.
 func (w *Worker) MarkLeaving(now time.Duration) {
 	since := w.leavingSince.Load()
 	if since != 0 && !w.leavingExpired(since, now) {
@@ -275,16 +291,24 @@
 	w.leavingSince.CompareAndSwap(since, max(int64(now), 1))
 }
 
-// leavingExpired reports whether the worker's own announcement that it is about to
-// stop has expired while the list has the worker as live: it may have restarted at
-// the same address.
+// leavingExpired reports whether the sign that the worker is about to stop has expired
+// while the list has the worker as live: it may have restarted at the same address.
 func (w *Worker) leavingExpired(since int64, now time.Duration) bool {
-	return !w.member.Load().Leaving() && int64(now)-since > int64(leavingTTL)
+	return !w.member.Load().Leaving() && !w.leavesForGood() && int64(now)-since > int64(leavingTTL)
 }
 
+// leavesForGood reports whether this start of the worker has announced that it is about to
+// stop, and the next start can be told from it.
+func (w *Worker) leavesForGood() bool { return w.announced.Load() && w.member.Load().Started() != 0 }
+
 // ClearLeaving clears the record that the worker is about to stop, when it is listed as live
-// again.
-func (w *Worker) ClearLeaving() { w.leavingSince.Store(0) }
+// again. A final announcement stays.
+func (w *Worker) ClearLeaving() {
+	if !w.leavesForGood() {
+		w.announced.Store(false)
+		w.leavingSince.Store(0)
+	}
+}
 
 // LeavingFor returns for how long the worker has been known to be about to stop, or 0.
 func (w *Worker) LeavingFor(now time.Duration) time.Duration {
@@ -315,6 +339,8 @@
 // nanoseconds.
 func (w *Worker) State(mean int64, now time.Duration) picker.State {
 	switch {
+	case w.leaving(now) && int64(now) < w.lastResortUntil.Load() && !w.member.Load().Leaving():
+		return picker.LastResort
 	case w.leaving(now):
 		return picker.Leaving
 	case w.pausedUntil.Load() > int64(now):
--- a/tracker/worker_test.go
+++ b/tracker/worker_test.go
@@ -20,6 +20,9 @@
 func TestStates(t *testing.T) {
 	type step func(w *tracker.Worker)
 	fail := func(at time.Duration) step { return func(w *tracker.Worker) { w.RecordFailure(at) } }
+	known := func(w *tracker.Worker) { w.Update(member(false).WithStart(1700000000000, 0), 0) }
+	announce := func(w *tracker.Worker) { w.Announce(0, 0) }
+	announceWithGrace := func(w *tracker.Worker) { w.Announce(0, time.Second) }
 	tests := []struct {
 		name  string
 		steps []step
@@ -39,6 +42,12 @@
 		{"its own announcement that it is leaving", []step{func(w *tracker.Worker) { w.MarkLeaving(0) }}, 30 * time.Second, picker.Leaving},
 		{"the announcement expires if the list has it as live", []step{func(w *tracker.Worker) { w.MarkLeaving(0) }}, 2 * time.Minute, picker.Usable},
 		{"a new announcement counts again", []step{func(w *tracker.Worker) { w.MarkLeaving(0) }, func(w *tracker.Worker) { w.MarkLeaving(2 * time.Minute) }}, 2*time.Minute + 1, picker.Leaving},
+		{"an announcement of its own, of a start that can be told from others", []step{known, announce}, 24 * time.Hour, picker.Leaving},
+		{"is not undone by the list", []step{known, announce, func(w *tracker.Worker) { w.ClearLeaving() }}, 0, picker.Leaving},
+		{"is undone by the list if starts cannot be told apart", []step{announce, func(w *tracker.Worker) { w.ClearLeaving() }}, 0, picker.Usable},
+		{"is a last resort within the grace", []step{known, announceWithGrace}, time.Second - 1, picker.LastResort},
+		{"is none after the grace", []step{known, announceWithGrace, announceWithGrace}, time.Second, picker.Leaving},
+		{"is none if the list has it as leaving too", []step{func(w *tracker.Worker) { w.Update(member(true), 0) }, announceWithGrace}, 0, picker.Leaving},
 		{"leaving by the list does not expire", []step{func(w *tracker.Worker) { w.Update(member(true), 0); w.MarkLeaving(0) }}, 2 * time.Minute, picker.Leaving},
 	}
 	for _, test := range tests {
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"burdocklane/drainer"
 	"burdocklane/healthchecker"
 	"burdocklane/limiter"
 	"burdocklane/picker"
@@ -46,6 +47,9 @@
 // can take it.
 type Rejected struct{ reason string }
 
+// NewRejected returns the verdict with a reason.
+func NewRejected(reason string) Rejected { return Rejected{reason: reason} }
+
 func (Confirmed) verdict() {}
 func (Rejected) verdict()  {}
 
@@ -111,11 +115,11 @@
 func (v *Verifier) Verify(ctx context.Context, pool *limiter.Pool, worker *tracker.Worker, path string, timeout time.Duration) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	knownUnhealthy := worker.Unhealthy()
+	knownUnhealthy := worker.Unhealthy() || worker.HasAnnounced()
 	health := v.checker.Check(ctx, worker.Member(), path)
 	record(pool, worker, health)
 	verdict := Judge(health, knownUnhealthy)
-	if _, ok := verdict.(Confirmed); ok && worker.LeavingFor(pool.Now()) > 0 { // It was chosen before that was known.
+	if _, ok := verdict.(Confirmed); ok && pool.IsClosed(worker) { // It was chosen before that was known.
 		verdict = Rejected{reason: "leaving"}
 	}
 	switch verdict.(type) {
@@ -137,6 +141,9 @@
 		pool.MarkLeaving(worker)
 	case healthchecker.Healthy, healthchecker.Unreachable:
 	}
+	if healthchecker.AnnouncesLeaving(health) {
+		pool.RecordAnnouncement(worker.Member(), drainer.SignalHealthCheck)
+	}
 	if load, ok := healthchecker.LoadOf(health); ok {
 		pool.RecordReport(worker, load.Report(pool.Now()))
 	}
