Order what a worker registers by its start and sequence number alone

Cause: the store may run a write seconds late, so that a worker's heartbeat from before its report replaces the report. The directory compared Seq only between eras of the store; within one, any later write won, and the pool then cleared the mark. Removed workers were remembered for later eras only. On related paths the same cause showed: a registration of an earlier start (lower born) replaced that of a later one, and a registration after a removal was taken for a live worker whatever it was.

Change: drainer orders registrations by start and Seq, whatever the store's revision says. After a removal, a lower number is outdated (30 s at most); the same or a higher one may be a late write or a live worker that is back, which the list cannot tell, since entries change with more than Seq only.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -167,7 +167,7 @@
 // buildChangePipeline creates the filters that a change of the configuration or
 // the fleet passes through.
 func (p *Process) buildChangePipeline() error {
-	p.directory = adapter.NewDirectory(p.settings, p.log)
+	p.directory = adapter.NewDirectory(p.settings, p.log, adapter.WithLedger(p.ledger))
 	p.store, p.closeStore = adapter.NewStore(p.settings.Store(), p.settings.MaxChangeDelay())
 	var err error
 	revision := func() storer.Revision { return p.follower.Revision() }
--- a/bootstrapper/leaving_test.go
+++ b/bootstrapper/leaving_test.go
@@ -91,3 +91,59 @@
 		})
 	}
 }
+
+// A worker that had reported draining, or whose entry had been removed, was sent calls again
+// when the store ran one of its older heartbeats late. It sets no header here. A live worker
+// that was removed for its silence has to get calls again.
+func TestLateHeartbeatOfWorkerThatStops(t *testing.T) {
+	tests := []struct {
+		name string
+		stop func(e *environment, w *imitator.Worker)
+		late string // Which heartbeat is run late: "unseen" ones were never listed.
+		live bool
+	}{
+		{"draining, and an older heartbeat", func(e *environment, w *imitator.Worker) { register(e, w, "draining") }, "seen", false},
+		{"draining, and an older heartbeat that was not listed", func(e *environment, w *imitator.Worker) {
+			w.Entry("s", "z", w.Address(), "ready")
+			register(e, w, "draining")
+		}, "unseen", false},
+		{"removed, and an older heartbeat", func(e *environment, w *imitator.Worker) {
+			register(e, w, "ready")
+			e.store.Remove("servers/" + w.ID())
+		}, "seen", false},
+		{"removed, and a later heartbeat that was not listed", func(e *environment, w *imitator.Worker) {
+			e.store.Remove("servers/" + w.ID())
+		}, "unseen", false},
+		{"removed for its silence, and its next heartbeat", func(e *environment, w *imitator.Worker) {
+			e.store.Remove("servers/" + w.ID())
+		}, "unseen", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			e := newEnvironment(c)
+			c.Cleanup(func() { c.Check(e.instance.Close(), qt.IsNil) })
+			w, other := imitator.NewWorker("w"), startRegistered(c, e, "other")
+			c.Cleanup(w.Close)
+			key, seen := w.Entry("s", "z", w.Address(), "ready")
+			e.store.Put(key, seen)
+			e.store.Put("op/config", configuration(1, "/a/"))
+			e.awaitStatus("/a/0", http.StatusOK)
+			c.Assert(awaitRun(e, w, 10*time.Second) && awaitRun(e, other, 10*time.Second), qt.IsTrue)
+			_, unseen := w.Entry("s", "z", w.Address(), "ready")
+			test.stop(e, w)
+			if !test.live {
+				w.FailHealthChecks()
+			}
+			time.Sleep(drainTimeout)
+			other.SetFault(imitator.Slow) // A worker that is merely unhealthy would be preferred.
+			late := map[string]string{"seen": seen, "unseen": unseen}[test.late]
+			e.store.Put(key, late)
+			time.Sleep(100 * time.Millisecond)
+			run, failed := callMany(e, w, 20)
+			c.Assert(run > 0, qt.Equals, test.live, qt.Commentf("%d calls", run))
+			c.Assert(failed, qt.Equals, 0)
+		})
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -103,6 +103,7 @@
 	attemptsStarted int
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
+	closedWorkers   []registrar.WorkerID // Which must not get the call.
 }
 
 // attempt is one attempt at a worker. Its slot is released when the attempt is
@@ -152,7 +153,7 @@
 // tried before, so that the limiter avoids them.
 func (c *activeCall) admissionRequest() limiter.Request {
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
-		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.rejectedWorkers)...)).
+		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -130,7 +130,7 @@
 	if !ok {
 		return false
 	}
-	if !c.serviceState.Budget().Withdraw() {
+	if c.serviceState.Pool().NeedsConfirmation(granted.Worker()) || !c.serviceState.Budget().Withdraw() {
 		granted.Release()
 		return false
 	}
--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -15,23 +15,36 @@
 // isVerified reports whether the call may be sent to the granted worker. If not, the slot
 // is released, and the call is admitted again for another worker.
 func (c *activeCall) isVerified(granted limiter.Granted) bool {
-	rejected, ok := c.verdict(granted).(verifier.Rejected)
-	if !ok && c.serviceState.Pool().IsClosed(granted.Worker()) { // That was learnt after the slot was granted.
-		rejected, ok = verifier.NewRejected("leaving"), true
-	}
-	if !ok {
-		return true
+	switch v := c.verdict(granted).(type) {
+	case verifier.Rejected:
+		c.rejections++
+		c.rejectedWorkers = append(c.rejectedWorkers, granted.Worker().ID())
+		c.passOver(granted, v.Reason())
+		return false
+	case verifier.Closed:
+		c.closedWorkers = append(c.closedWorkers, granted.Worker().ID())
+		c.passOver(granted, v.Reason())
+		return false
 	}
-	c.rejections++
-	c.rejectedWorkers = append(c.rejectedWorkers, granted.Worker().ID())
-	c.recordRejection(granted, rejected)
-	granted.Release()
-	return false
+	return true
 }
 
-// verdict verifies the worker if that is due.
+// verdict verifies the worker if that is due. What has become known of the worker since the
+// slot was granted counts.
 func (c *activeCall) verdict(granted limiter.Granted) verifier.Verdict {
+	verdict := c.check(granted)
+	if _, rejected := verdict.(verifier.Rejected); !rejected && c.serviceState.Pool().IsClosed(granted.Worker()) {
+		return verifier.NewClosed("leaving")
+	}
+	return verdict
+}
+
+// check runs the health check of the worker that is due, if any.
+func (c *activeCall) check(granted limiter.Granted) verifier.Verdict {
 	worker, path := granted.Worker(), c.call.Service().HealthPath()
+	if c.dispatcher.verifier != nil && path != "" && c.serviceState.Pool().NeedsConfirmation(worker) {
+		return c.dispatcher.verifier.Confirm(c.ctx, c.serviceState.Pool(), worker, path)
+	}
 	if _, reported := worker.Report(); c.dispatcher.verifier == nil || path == "" || !reported {
 		return verifier.Confirmed{}
 	}
@@ -55,11 +68,13 @@
 	return true
 }
 
-func (c *activeCall) recordRejection(granted limiter.Granted, rejected verifier.Rejected) {
-	c.dispatcher.recorder.Record(recorder.NewDecision(c.call.ID(), time.Now(), "pass-over", rejected.Reason(),
+// passOver logs why the call is not sent to the granted worker, and releases the slot.
+func (c *activeCall) passOver(granted limiter.Granted, reason string) {
+	c.dispatcher.recorder.Record(recorder.NewDecision(c.call.ID(), time.Now(), "pass-over", reason,
 		recorder.WithClass(c.call.Service().Name(), c.call.Class().Name()),
 		recorder.WithAttempt(c.attemptsStarted+1, granted.Worker().ID()),
 		recorder.WithCandidates(granted.CandidateSummary()),
 		recorder.WithTarget(c.call.Class().Target().Latency()),
 		recorder.WithTimes(granted.Waited(), time.Since(c.call.Arrival()))))
+	granted.Release()
 }
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -61,8 +61,8 @@
 			for _, f := range test.facts {
 				ledger.Observe(f, began)
 			}
-			c.Assert(standingText(ledger.Standing(registration(test.start, 9, false))), qt.Equals, test.want)
-			if l, ok := ledger.Standing(registration(test.start, 9, false)).(drainer.Leaving); ok {
+			c.Assert(standingText(ledger.Standing(registration(test.start, 9, false), began)), qt.Equals, test.want)
+			if l, ok := ledger.Standing(registration(test.start, 9, false), began).(drainer.Leaving); ok {
 				c.Assert(l.Since(), qt.Equals, began)
 			}
 		})
@@ -97,11 +97,11 @@
 		ledger.Observe(drainer.NewAnnounced(member(n), drainer.SignalAnswer), began.Add(time.Duration(n)))
 	}
 	for n := range workers {
-		if _, ok := ledger.Standing(member(n)).(drainer.Leaving); ok {
+		if _, ok := ledger.Standing(member(n), began).(drainer.Leaving); ok {
 			remembered++
 		}
 	}
 	c.Assert(remembered, qt.Equals, 8192)
-	c.Assert(standingText(ledger.Standing(member(0))), qt.Equals, "open")
-	c.Assert(standingText(ledger.Standing(member(workers-1))), qt.Equals, "leaving")
+	c.Assert(standingText(ledger.Standing(member(0), began)), qt.Equals, "open")
+	c.Assert(standingText(ledger.Standing(member(workers-1), began)), qt.Equals, "leaving")
 }
--- a/drainer/fact.go
+++ b/drainer/fact.go
@@ -6,9 +6,24 @@
 
 import "burdocklane/registrar"
 
-// Fact is what a source says of one start of a worker: Announced.
+// Fact is what a source says of one start of a worker: Listed, Unlisted, Announced or
+// Confirmed.
 type Fact interface{ worker() registrar.Worker }
 
+// Listed says that the platform's list has a registration of the worker. The era is that
+// of the store: a later one begins with an older copy.
+type Listed struct {
+	member registrar.Worker
+	era    int64
+}
+
+// Unlisted says that the list has the worker no more, which it had in the given
+// registration.
+type Unlisted struct {
+	member registrar.Worker
+	era    int64
+}
+
 // Announced says that the worker itself has announced that it is about to stop. That is
 // final for this start of the worker.
 type Announced struct {
@@ -16,6 +31,9 @@
 	signal Signal
 }
 
+// Confirmed says that the worker has answered a health check that it serves.
+type Confirmed struct{ member registrar.Worker }
+
 // Signal is the message in which a worker has announced that it is about to stop.
 type Signal string
 
@@ -25,10 +43,24 @@
 	SignalHealthCheck Signal = "health-check"
 )
 
+// NewListed returns the fact that the list has a registration, in an era of the store.
+func NewListed(member registrar.Worker, era int64) Listed { return Listed{member: member, era: era} }
+
+// NewUnlisted returns the fact that the list has lost a worker, in an era of the store.
+func NewUnlisted(member registrar.Worker, era int64) Unlisted {
+	return Unlisted{member: member, era: era}
+}
+
 // NewAnnounced returns the fact that a worker has announced by a signal that it is about
 // to stop.
 func NewAnnounced(member registrar.Worker, signal Signal) Announced {
 	return Announced{member: member, signal: signal}
 }
 
+// NewConfirmed returns the fact that a worker has answered that it serves.
+func NewConfirmed(member registrar.Worker) Confirmed { return Confirmed{member: member} }
+
+func (l Listed) worker() registrar.Worker    { return l.member }
+func (u Unlisted) worker() registrar.Worker  { return u.member }
 func (a Announced) worker() registrar.Worker { return a.member }
+func (c Confirmed) worker() registrar.Worker { return c.member }
--- a/drainer/ledger.go
+++ b/drainer/ledger.go
@@ -11,12 +11,15 @@
 	"github.com/rs/zerolog"
 )
 
-// maxRecords bounds the workers that a Ledger remembers. Workers come and go for as long
-// as an instance runs.
+// maxRecords bounds the workers that a Ledger remembers, unless more are listed. Workers
+// come and go for as long as an instance runs.
 const maxRecords = 8192
 
-// announcedTotal counts the starts that have announced that they are about to stop.
-var announcedTotal = metrics.NewCounter("burdocklane_workers_announced_leaving_total")
+var (
+	announcedTotal = metrics.NewCounter("burdocklane_workers_announced_leaving_total")
+	listedAgain    = metrics.NewCounter("burdocklane_workers_listed_again_total")
+	confirmedTotal = metrics.NewCounter("burdocklane_workers_confirmed_total")
+)
 
 // Ledger holds what is known of the starts of workers. It is safe for concurrent use, and
 // its zero value is ready to use.
@@ -30,7 +33,8 @@
 // Option sets one property of a Ledger.
 type Option func(*Ledger)
 
-// WithLog sets the log that gets a line for each announcement. The default is none.
+// WithLog sets the log that gets a line for each change of a standing. The default is
+// none.
 func WithLog(log zerolog.Logger) Option { return func(l *Ledger) { l.log = log } }
 
 // New returns a Ledger that knows no worker.
@@ -48,21 +52,21 @@
 	member := f.worker()
 	for {
 		stored, old := l.load(member.ID())
-		next := old.with(f, now)
+		next, standing := old.with(f, now)
 		if next == old {
-			return next.standingOf(member)
+			return standing
 		}
 		if l.replace(member.ID(), stored, &next) {
 			l.logChange(f, old, next)
-			return next.standingOf(member)
+			return standing
 		}
 	}
 }
 
 // Standing returns the standing of a start of a worker.
-func (l *Ledger) Standing(member registrar.Worker) Standing {
+func (l *Ledger) Standing(member registrar.Worker, now time.Time) Standing {
 	_, known := l.load(member.ID())
-	return known.standingOf(member)
+	return known.standingOf(member, now)
 }
 
 // load returns the record of a worker, also as it is stored. Both are empty for an unknown
@@ -90,13 +94,14 @@
 	return true
 }
 
-// prune forgets the worker whose announcement is the oldest.
+// prune forgets the worker that the list has lost first.
 func (l *Ledger) prune() {
 	l.pruning.Lock()
 	defer l.pruning.Unlock()
 	var oldest *record
 	l.records.Range(func(_, value any) bool {
-		if r := value.(*record); oldest == nil || r.announcedAt.Before(oldest.announcedAt) {
+		r := value.(*record)
+		if !r.unlistedAt.IsZero() && (oldest == nil || r.unlistedAt.Before(oldest.unlistedAt)) {
 			oldest = r
 		}
 		return true
@@ -106,10 +111,21 @@
 	}
 }
 
+// logChange logs and counts a change that ends or begins the use of a start.
 func (l *Ledger) logChange(f Fact, old, next record) {
-	if a, ok := f.(Announced); ok && (old.announcedAt.IsZero() || !old.member.SameIncarnation(next.member)) {
+	event := l.log.Info().Str("worker", string(next.member.ID())).Int64("start", next.member.Started()).Int64("sequence", next.member.Sequence())
+	switch f := f.(type) {
+	case Announced:
 		announcedTotal.Inc()
-		l.log.Info().Str("worker", string(a.member.ID())).Int64("start", a.member.Started()).
-			Int64("sequence", a.member.Sequence()).Str("signal", string(a.signal)).Msg("worker has announced that it is about to stop")
+		event.Str("signal", string(f.signal)).Msg("worker has announced that it is about to stop")
+	case Listed:
+		if !next.unconfirmedUntil.IsZero() && next.unconfirmedUntil != old.unconfirmedUntil {
+			listedAgain.Inc()
+			event.Int64("had-sequence", old.member.Sequence()).Msg("worker is listed again; it gets calls once a health check has confirmed it")
+		}
+	case Confirmed:
+		confirmedTotal.Inc()
+		event.Msg("worker that is listed again is confirmed")
+	case Unlisted:
 	}
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -245,6 +245,9 @@
 	switch h := health.(type) {
 	case healthchecker.Healthy:
 		t.worker.SetUnhealthy(false)
+		if !healthchecker.AnnouncesLeaving(health) {
+			t.pool.Confirm(t.worker)
+		}
 	case healthchecker.Unhealthy:
 		t.worker.SetUnhealthy(true)
 	case healthchecker.Unreachable:
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -229,10 +229,12 @@
 
 // applyStanding marks a worker that has just been listed as its start is known already.
 func (p *Pool) applyStanding(w *tracker.Worker, member registrar.Worker) {
-	switch s := p.ledger.Standing(member).(type) {
+	switch s := p.ledger.Standing(member, time.Now()).(type) {
 	case drainer.Leaving:
 		w.Announce(p.Now()-time.Since(s.Since()), p.leavingGrace)
-	case drainer.Open:
+	case drainer.Unconfirmed:
+		w.SetUnconfirmedUntil(p.Now() + time.Until(s.Until()))
+	case drainer.Open, drainer.Outdated:
 	}
 }
 
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -113,6 +113,18 @@
 	}
 }
 
+// Confirm records that the worker has answered a health check that it serves.
+func (p *Pool) Confirm(worker *tracker.Worker) {
+	if p.NeedsConfirmation(worker) {
+		p.ledger.Observe(drainer.NewConfirmed(worker.Member()), time.Now())
+		worker.SetUnconfirmedUntil(0)
+	}
+}
+
+// NeedsConfirmation reports whether the worker is listed again and gets no calls before it
+// has answered a health check.
+func (p *Pool) NeedsConfirmation(worker *tracker.Worker) bool { return worker.IsUnconfirmed(p.Now()) }
+
 // IsClosed reports whether the worker is about to stop and gets no calls any more.
 func (p *Pool) IsClosed(worker *tracker.Worker) bool {
 	return worker.State(0, p.Now()) == picker.Leaving
--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -34,7 +34,8 @@
 	end         time.Time
 	status      int
 	intact      bool
-	connected   bool // The connection was established.
+	connected   bool   // The connection was established.
+	leaver      string // The worker that announced in its answer that it is about to stop.
 	err         error
 }
 
@@ -117,6 +118,9 @@
 		return
 	}
 	defer response.Body.Close()
+	if response.Header.Get("Server-Leaving") != "" {
+		o.leaver = response.Header.Get("X-Instance-Id")
+	}
 	data, err := io.ReadAll(response.Body)
 	o.status, o.err = response.StatusCode, err
 	o.intact = err == nil && string(data) == imitator.Body(o.id) &&
--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -71,6 +71,7 @@
 		{"worker-slow", workerFault(imitator.Slow)},
 		{"worker-hangs", workerFault(imitator.Hangs)},
 		{"worker-drained", replaceWorker},
+		{"worker-removed", removeWorker},
 		{"configuration", changeConfiguration},
 		{"configurations", changeConfigurationRepeatedly},
 		{"configuration-grows", growConfiguration},
@@ -205,19 +206,51 @@
 
 // replaceWorker replaces a worker by a new one. The old worker is listed as
 // draining and keeps serving for the length of the fault, then it is removed from
-// the list.
+// the list. It goes on serving. Meanwhile the store may run one of its heartbeats late.
 func replaceWorker(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
+	m := f.beginReplacement(rng)
+	key, late := f.heartbeat(m)
+	f.register(m, "draining")
+	f.mutex.Lock()
+	m.drainingSince = time.Now()
+	f.mutex.Unlock()
+	sleeper.Sleep(ctx, duration/2)
+	if rng.IntN(2) == 0 {
+		f.store.Put(key, late)
+		sleeper.Sleep(ctx, drainTimeout)
+	}
+	sleeper.Sleep(ctx, duration/2)
+	f.store.Remove(key)
+}
+
+// beginReplacement adds a worker and returns the one that leaves for it, which says so in
+// its answers, only fails its health checks, or does neither.
+func (f *fleet) beginReplacement(rng *rand.Rand) *proxiedWorker {
 	f.addWorker(fmt.Sprintf("worker-%x", rng.Uint64()))
 	m := f.pickWorker(rng)
 	f.mutex.Lock()
 	m.leaving = true
 	f.mutex.Unlock()
-	f.register(m, "draining")
-	f.mutex.Lock()
-	m.drainingSince = time.Now()
-	f.mutex.Unlock()
-	sleeper.Sleep(ctx, duration)
-	f.store.Remove("servers/" + m.worker.ID())
+	switch rng.IntN(3) {
+	case 0:
+		m.worker.AnnounceLeaving()
+	case 1:
+		m.worker.FailHealthChecks()
+	}
+	return m
+}
+
+// removeWorker replaces a worker that never reports draining: it is removed from the list
+// late, or not at all, and the store may run one of its heartbeats after that.
+func removeWorker(ctx context.Context, f *fleet, rng *rand.Rand, duration time.Duration) {
+	m := f.beginReplacement(rng)
+	key, late := f.heartbeat(m)
+	sleeper.Sleep(ctx, duration/2)
+	f.store.Remove(key)
+	sleeper.Sleep(ctx, duration/2)
+	if rng.IntN(2) == 0 {
+		f.store.Put(key, late)
+	}
 }
 
 func changeConfiguration(_ context.Context, f *fleet, _ *rand.Rand, _ time.Duration) {
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -171,6 +171,12 @@
 	f.workers = append(f.workers, m)
 }
 
+// heartbeat returns the key and the value of the worker's next registration as ready, which
+// is not written yet.
+func (f *fleet) heartbeat(m *proxiedWorker) (key, value string) {
+	return m.worker.Entry(serviceName, "a", m.proxy.Listen, "ready")
+}
+
 func (f *fleet) register(m *proxiedWorker, state string) {
 	f.store.Put(m.worker.Entry(serviceName, "a", m.proxy.Listen, state))
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -141,6 +141,7 @@
 	cs.running.Wait()
 	watchers.Wait()
 	f.checkOutcomes(cs.outcomes)
+	f.checkLeavers(cs.outcomes)
 	f.checkActivations()
 }
 
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -63,6 +63,7 @@
 	announced           atomic.Bool  // The worker itself has announced that it is about to stop.
 	lastResortUntil     atomic.Int64 // Until then, calls that no other worker can take are sent to it.
 	coldUntil           atomic.Int64
+	unconfirmedUntil    atomic.Int64
 	unhealthy           atomic.Bool
 	sent                atomic.Int64 // Calls sent since the start.
 	lent                atomic.Int32 // Calls in flight on slots that are lent to other instances.
@@ -261,6 +262,14 @@
 // Pause pauses the worker: no calls are sent to it for the given time.
 func (w *Worker) Pause(pause, now time.Duration) { w.pausedUntil.Store(int64(now + pause)) }
 
+// SetUnconfirmedUntil stores until when the worker gets no calls before it has answered a
+// health check; 0 if it has.
+func (w *Worker) SetUnconfirmedUntil(until time.Duration) { w.unconfirmedUntil.Store(int64(until)) }
+
+// IsUnconfirmed reports whether the worker gets no calls before it has answered a health
+// check.
+func (w *Worker) IsUnconfirmed(now time.Duration) bool { return int64(now) < w.unconfirmedUntil.Load() }
+
 // SetUnhealthy stores whether a health check found the worker unhealthy.
 func (w *Worker) SetUnhealthy(unhealthy bool) { w.unhealthy.Store(unhealthy) }
 
@@ -347,7 +356,7 @@
 		return picker.Paused
 	case w.ejectedUntil.Load() > int64(now):
 		return picker.Ejected
-	case w.unhealthy.Load(), w.stalled(mean, now):
+	case w.unhealthy.Load(), w.stalled(mean, now), w.IsUnconfirmed(now):
 		return picker.Suspect
 	}
 	return picker.Usable
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -37,7 +37,7 @@
 	rejectedTotal  = metrics.NewCounter(`burdocklane_verifications_total{verdict="rejected"}`)
 )
 
-// Verdict says whether the call may be sent to the worker: Confirmed or Rejected.
+// Verdict says whether the call may be sent to the worker: Confirmed, Rejected or Closed.
 type Verdict interface{ verdict() }
 
 // Confirmed is the verdict for a worker that still is as the decision expected.
@@ -47,11 +47,18 @@
 // can take it.
 type Rejected struct{ reason string }
 
-// NewRejected returns the verdict with a reason.
-func NewRejected(reason string) Rejected { return Rejected{reason: reason} }
+// Closed is the verdict for a worker to which the call must not be sent.
+type Closed struct{ reason string }
 
 func (Confirmed) verdict() {}
 func (Rejected) verdict()  {}
+func (Closed) verdict()    {}
+
+// NewClosed returns the verdict with a reason.
+func NewClosed(reason string) Closed { return Closed{reason: reason} }
+
+// Reason returns why the worker is closed, for logs.
+func (c Closed) Reason() string { return c.reason }
 
 // Reason returns why the worker was rejected, for logs.
 func (r Rejected) Reason() string { return r.reason }
@@ -125,12 +132,23 @@
 	switch verdict.(type) {
 	case Confirmed:
 		confirmedTotal.Inc()
-	case Rejected:
+	case Rejected, Closed:
 		rejectedTotal.Inc()
 	}
 	return verdict
 }
 
+// Confirm checks a worker that gets no calls before it has answered a health check. One that
+// does not confirm that it serves gets no calls for a while.
+func (v *Verifier) Confirm(ctx context.Context, pool *limiter.Pool, worker *tracker.Worker, path string) Verdict {
+	verdict := v.Verify(ctx, pool, worker, path, maxTimeout)
+	if !pool.NeedsConfirmation(worker) {
+		return verdict
+	}
+	pool.BackOff(worker)
+	return Closed{reason: "unconfirmed"}
+}
+
 // record passes the result of a check on to the pool. A check that got no answer in its
 // short time does not show that the worker is down.
 func record(pool *limiter.Pool, worker *tracker.Worker, health healthchecker.Health) {
@@ -139,7 +157,11 @@
 		worker.SetUnhealthy(true)
 	case healthchecker.WrongWorker:
 		pool.MarkLeaving(worker)
-	case healthchecker.Healthy, healthchecker.Unreachable:
+	case healthchecker.Healthy:
+		if !healthchecker.AnnouncesLeaving(health) {
+			pool.Confirm(worker)
+		}
+	case healthchecker.Unreachable:
 	}
 	if healthchecker.AnnouncesLeaving(health) {
 		pool.RecordAnnouncement(worker.Member(), drainer.SignalHealthCheck)
