Take each announcement of a worker whose starts cannot be told apart

A worker of the product's own interface (no born) that goes on announcing its stop got calls after a minute: since an announcement was not taken again once the worker had announced, while its mark still expired. Found by reading the diff.

Besides, a caller who leaves while a worker is confirmed no longer pauses that worker.

--- a/drainer/ledger.go
+++ b/drainer/ledger.go
@@ -21,8 +21,8 @@
 	confirmedTotal = metrics.NewCounter("burdocklane_workers_confirmed_total")
 )
 
-// Ledger holds what is known of the starts of workers. It is safe for concurrent use, and
-// its zero value is ready to use.
+// Ledger holds what is known of the starts of workers. It is safe for concurrent use: a
+// record is replaced as a whole, and readers never wait.
 type Ledger struct {
 	log     zerolog.Logger
 	records sync.Map // From registrar.WorkerID to *record.
--- a/limiter/leaving_test.go
+++ b/limiter/leaving_test.go
@@ -148,3 +148,31 @@
 		})
 	}
 }
+
+// Guards against a worker that goes on announcing its stop and gets calls: where starts
+// cannot be told apart, an announcement counts for a minute, and each one anew.
+func TestAnnouncementOfAnUnknownStart(t *testing.T) {
+	tests := []struct {
+		name string
+		at   []time.Duration // When the worker announces its stop.
+		want string
+	}{
+		{"once, a while ago", []time.Duration{0}, "w0"},
+		{"again", []time.Duration{0, 2 * time.Minute}, "no-worker"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				member := startOf(0, 0, 0, false)
+				p := newPool([]registrar.Worker{member}, limiter.WithPolicy(picker.ReportedLoad{}))
+				began := time.Now()
+				for _, at := range test.at {
+					time.Sleep(time.Until(began.Add(at)))
+					p.RecordAnnouncement(member, drainer.SignalAnswer)
+				}
+				time.Sleep(time.Until(began.Add(2*time.Minute + time.Second)))
+				qt.Assert(t, outcomeOf(p, newRequest()), qt.Equals, test.want)
+			})
+		})
+	}
+}
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -104,7 +104,7 @@
 func (p *Pool) RecordAnnouncement(member registrar.Worker, signal drainer.Signal) {
 	w := p.Find(member.ID())
 	isListed := w != nil && w.Member().SameIncarnation(member)
-	if isListed && w.HasAnnounced() {
+	if isListed && w.LeavesForGood() {
 		return
 	}
 	p.ledger.Observe(drainer.NewAnnounced(member, signal), time.Now())
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -303,17 +303,17 @@
 // leavingExpired reports whether the sign that the worker is about to stop has expired
 // while the list has the worker as live: it may have restarted at the same address.
 func (w *Worker) leavingExpired(since int64, now time.Duration) bool {
-	return !w.member.Load().Leaving() && !w.leavesForGood() && int64(now)-since > int64(leavingTTL)
+	return !w.member.Load().Leaving() && !w.LeavesForGood() && int64(now)-since > int64(leavingTTL)
 }
 
-// leavesForGood reports whether this start of the worker has announced that it is about to
+// LeavesForGood reports whether this start of the worker has announced that it is about to
 // stop, and the next start can be told from it.
-func (w *Worker) leavesForGood() bool { return w.announced.Load() && w.member.Load().Started() != 0 }
+func (w *Worker) LeavesForGood() bool { return w.announced.Load() && w.member.Load().Started() != 0 }
 
 // ClearLeaving clears the record that the worker is about to stop, when it is listed as live
 // again. A final announcement stays.
 func (w *Worker) ClearLeaving() {
-	if !w.leavesForGood() {
+	if !w.LeavesForGood() {
 		w.announced.Store(false)
 		w.leavingSince.Store(0)
 	}
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -145,7 +145,9 @@
 	if !pool.NeedsConfirmation(worker) {
 		return verdict
 	}
-	pool.BackOff(worker)
+	if ctx.Err() == nil { // Else it was the caller who left.
+		pool.BackOff(worker)
+	}
 	return Closed{reason: "unconfirmed"}
 }
 
