--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -103,7 +103,7 @@
 	attemptsStarted int
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
-	closedWorkers   []registrar.WorkerID // Which must not get the call.
+	closedWorkers   []registrar.WorkerID // By the verifier, which must not get the call.
 }
 
 // attempt is one attempt at a worker. Its slot is released when the attempt is
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -227,7 +227,8 @@
 	return w
 }
 
-// applyStanding marks a worker that has just been listed as its start is known already.
+// applyStanding applies what is known of the start of a worker that has just been listed:
+// the list may have lost it before.
 func (p *Pool) applyStanding(w *tracker.Worker, member registrar.Worker) {
 	switch s := p.ledger.Standing(member, time.Now()).(type) {
 	case drainer.Leaving:
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -34,7 +34,7 @@
 	localOnly      bool
 	noWait         bool
 	hedge          bool
-	lastResort     bool // Workers that are about to stop may be used beside the others.
+	lastResort     bool // Workers that are about to stop and still serve may be used too.
 }
 
 // RequestOption configures an optional property of a request.
