--- a/drainer/ledger.go
+++ b/drainer/ledger.go
@@ -113,19 +113,23 @@
 
 // logChange logs and counts a change that ends or begins the use of a start.
 func (l *Ledger) logChange(f Fact, old, next record) {
-	event := l.log.Info().Str("worker", string(next.member.ID())).Int64("start", next.member.Started()).Int64("sequence", next.member.Sequence())
 	switch f := f.(type) {
 	case Announced:
 		announcedTotal.Inc()
-		event.Str("signal", string(f.signal)).Msg("worker has announced that it is about to stop")
+		l.event(next).Str("signal", string(f.signal)).Msg("worker has announced that it is about to stop")
 	case Listed:
 		if !next.unconfirmedUntil.IsZero() && next.unconfirmedUntil != old.unconfirmedUntil {
 			listedAgain.Inc()
-			event.Int64("had-sequence", old.member.Sequence()).Msg("worker is listed again; it gets calls once a health check has confirmed it")
+			l.event(next).Int64("had-sequence", old.member.Sequence()).Msg("worker is listed again; it gets calls once a health check has confirmed it")
 		}
 	case Confirmed:
 		confirmedTotal.Inc()
-		event.Msg("worker that is listed again is confirmed")
+		l.event(next).Msg("worker that is listed again is confirmed")
 	case Unlisted:
 	}
 }
+
+// event returns a line of the log about the known start of a worker.
+func (l *Ledger) event(r record) *zerolog.Event {
+	return l.log.Info().Str("worker", string(r.member.ID())).Int64("start", r.member.Started()).Int64("sequence", r.member.Sequence())
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"burdocklane/descriptor"
-	"burdocklane/drainer"
 	"burdocklane/healthchecker"
 	"burdocklane/publisher"
 	"burdocklane/recoverer"
@@ -245,9 +244,6 @@
 	switch h := health.(type) {
 	case healthchecker.Healthy:
 		t.worker.SetUnhealthy(false)
-		if !healthchecker.AnnouncesLeaving(health) {
-			t.pool.Confirm(t.worker)
-		}
 	case healthchecker.Unhealthy:
 		t.worker.SetUnhealthy(true)
 	case healthchecker.Unreachable:
@@ -260,9 +256,7 @@
 		t.pool.MarkLeaving(t.worker)
 		return
 	}
-	if healthchecker.AnnouncesLeaving(health) {
-		t.pool.RecordAnnouncement(t.worker.Member(), drainer.SignalHealthCheck)
-	}
+	t.pool.RecordCheck(t.worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
 	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
 	}
--- a/healthchecker/healthchecker.go
+++ b/healthchecker/healthchecker.go
@@ -66,6 +66,12 @@
 	return r.load, r.loadKnown
 }
 
+// IsHealthy reports whether the worker has answered that it is healthy.
+func IsHealthy(health Health) bool {
+	_, ok := health.(Healthy)
+	return ok
+}
+
 // AnnouncesLeaving reports whether the worker has announced that it is about to stop.
 func AnnouncesLeaving(health Health) bool { return readingOf(health).leaving }
 
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -113,8 +113,19 @@
 	}
 }
 
-// Confirm records that the worker has answered a health check that it serves.
-func (p *Pool) Confirm(worker *tracker.Worker) {
+// RecordCheck records what a health check says of the worker's stop: that it has announced
+// it, or that it serves.
+func (p *Pool) RecordCheck(worker *tracker.Worker, healthy, leaving bool) {
+	switch {
+	case leaving:
+		p.RecordAnnouncement(worker.Member(), drainer.SignalHealthCheck)
+	case healthy:
+		p.confirm(worker)
+	}
+}
+
+// confirm ends the need of a worker that is listed again for a confirmation.
+func (p *Pool) confirm(worker *tracker.Worker) {
 	if p.NeedsConfirmation(worker) {
 		p.ledger.Observe(drainer.NewConfirmed(worker.Member()), time.Now())
 		worker.SetUnconfirmedUntil(0)
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -348,9 +348,10 @@
 // nanoseconds.
 func (w *Worker) State(mean int64, now time.Duration) picker.State {
 	switch {
-	case w.leaving(now) && int64(now) < w.lastResortUntil.Load() && !w.member.Load().Leaving():
-		return picker.LastResort
 	case w.leaving(now):
+		if int64(now) < w.lastResortUntil.Load() && !w.member.Load().Leaving() {
+			return picker.LastResort
+		}
 		return picker.Leaving
 	case w.pausedUntil.Load() > int64(now):
 		return picker.Paused
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -8,7 +8,6 @@
 	"context"
 	"time"
 
-	"burdocklane/drainer"
 	"burdocklane/healthchecker"
 	"burdocklane/limiter"
 	"burdocklane/picker"
@@ -132,7 +131,7 @@
 	switch verdict.(type) {
 	case Confirmed:
 		confirmedTotal.Inc()
-	case Rejected, Closed:
+	case Rejected:
 		rejectedTotal.Inc()
 	}
 	return verdict
@@ -159,15 +158,9 @@
 		worker.SetUnhealthy(true)
 	case healthchecker.WrongWorker:
 		pool.MarkLeaving(worker)
-	case healthchecker.Healthy:
-		if !healthchecker.AnnouncesLeaving(health) {
-			pool.Confirm(worker)
-		}
-	case healthchecker.Unreachable:
-	}
-	if healthchecker.AnnouncesLeaving(health) {
-		pool.RecordAnnouncement(worker.Member(), drainer.SignalHealthCheck)
+	case healthchecker.Healthy, healthchecker.Unreachable:
 	}
+	pool.RecordCheck(worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
 	if load, ok := healthchecker.LoadOf(health); ok {
 		pool.RecordReport(worker, load.Report(pool.Now()))
 	}
