Carry tenants, regions and warm-ups from the configuration to the request for a slot

Cause: the configuration of two new customers names tenants with keys, rate limits and regions, and workers that warm up; none of it was read. Results for over the limit and for an unknown key reach the front end. Nothing decides by them yet; a configuration without them is read as before.

--- a/classifier/request.go
+++ b/classifier/request.go
@@ -56,6 +56,7 @@
 	idempotencyKey string
 	arrival        time.Time
 	deadline       time.Time
+	tenant         *descriptor.Tenant // Or nil.
 }
 
 // NewCall returns a call of the class that arrived at the given time and fails at the
@@ -67,6 +68,36 @@
 // ID returns the request ID.
 func (c *Call) ID() string { return c.id }
 
+// ForTenant returns the call as one of the tenant.
+func (c *Call) ForTenant(t *descriptor.Tenant) Call {
+	owned := *c
+	owned.tenant = t
+	return owned
+}
+
+// Tenant returns the tenant whose API key the request carried, or nil if it needs none.
+func (c *Call) Tenant() *descriptor.Tenant { return c.tenant }
+
+// Priority returns the priority of the call; 0 is the highest. That of its tenant goes
+// before that of its class.
+func (c *Call) Priority() int {
+	if c.tenant != nil {
+		if rank, ok := c.tenant.Priority(); ok {
+			return rank
+		}
+	}
+	return c.class.Priority()
+}
+
+// Regions returns where the call may be processed: the limits of its class and of its
+// tenant both apply.
+func (c *Call) Regions() descriptor.Regions {
+	if c.tenant == nil {
+		return c.class.Regions()
+	}
+	return c.class.Regions().Intersect(c.tenant.Regions())
+}
+
 // Service returns the service that the call is for.
 func (c *Call) Service() *descriptor.Service { return c.service }
 
--- a/descriptor/class.go
+++ b/descriptor/class.go
@@ -18,6 +18,8 @@
 	maxAttempts       int
 	priority          int
 	retryServerErrors bool
+	public            bool
+	regions           Regions
 }
 
 // ClassOption configures a Class.
@@ -56,6 +58,12 @@
 // the highest.
 func WithPriority(rank int) ClassOption { return func(c *Class) { c.priority = rank } }
 
+// WithPublicAccess lets callers of the class omit the API key of a tenant.
+func WithPublicAccess() ClassOption { return func(c *Class) { c.public = true } }
+
+// WithRegions limits where calls of the class may be processed.
+func WithRegions(r Regions) ClassOption { return func(c *Class) { c.regions = r } }
+
 // NewClass returns a class with the given options. Its calls are AtMostOnce
 // unless an option says otherwise.
 func NewClass(name ClassName, opts ...ClassOption) Class {
@@ -99,6 +107,12 @@
 // the highest.
 func (c Class) Priority() int { return c.priority }
 
+// IsPublic reports whether callers need no API key.
+func (c Class) IsPublic() bool { return c.public }
+
+// Regions returns where calls of the class may be processed.
+func (c Class) Regions() Regions { return c.regions }
+
 // MatchLength returns the length of the longest path prefix that matches the
 // request. It returns false if the method or the path does not match. A prefix
 // matches whole path segments only.
--- a/descriptor/deployment.go
+++ b/descriptor/deployment.go
@@ -11,8 +11,28 @@
 	classes        []Class
 	notRunStatuses []int
 	healthPath     string
+	warmup         Warmup
 }
 
+// Warmup describes how the workers of a service behave for some time after they start,
+// while they are cold. The zero value is no limit.
+type Warmup struct {
+	duration  time.Duration
+	perSecond float64
+}
+
+// NewWarmup returns the warm-up of workers that are cold for the duration, and take so
+// many calls per second meanwhile from all instances together.
+func NewWarmup(duration time.Duration, perSecond float64) Warmup {
+	return Warmup{duration: duration, perSecond: perSecond}
+}
+
+// Duration returns how long a worker is cold after its start.
+func (w Warmup) Duration() time.Duration { return w.duration }
+
+// PerSecond returns how many calls per second a cold worker takes, or 0 without a limit.
+func (w Warmup) PerSecond() float64 { return w.perSecond }
+
 // NewService returns a service. By contract, a worker that answers with one of
 // notRunStatuses has not executed the request.
 func NewService(name ServiceName, classes []Class, notRunStatuses []int) Service {
@@ -29,6 +49,15 @@
 // HealthPath returns the path of health checks, or "" if there are none.
 func (s Service) HealthPath() string { return s.healthPath }
 
+// WithWarmup returns a copy of s whose workers warm up after their start.
+func (s Service) WithWarmup(w Warmup) Service {
+	s.warmup = w
+	return s
+}
+
+// Warmup returns how the workers warm up after their start.
+func (s Service) Warmup() Warmup { return s.warmup }
+
 // Name returns the name of the service, unique within its deployment.
 func (s Service) Name() ServiceName { return s.name }
 
@@ -72,6 +101,7 @@
 	services          []Service
 	routes            []Route
 	requestLimits     RequestLimits
+	tenants           []Tenant
 	revision          Revision
 	change            Change
 	origin            Origin
@@ -102,6 +132,16 @@
 	return d
 }
 
+// WithTenants returns a copy of d whose calls need the API key of one of the tenants,
+// unless their class is public. Without tenants, calls need no key.
+func (d Deployment) WithTenants(tenants []Tenant) Deployment {
+	d.tenants = slices.Clone(tenants)
+	return d
+}
+
+// Tenants returns the tenants. The caller must not modify the slice.
+func (d Deployment) Tenants() []Tenant { return d.tenants }
+
 // Routes returns the routes. The caller must not modify the slice.
 func (d Deployment) Routes() []Route { return d.routes }
 
--- a/descriptor/name.go
+++ b/descriptor/name.go
@@ -1,5 +1,5 @@
 // Package descriptor defines the configuration that operators declare:
-// services, their request classes and latency targets, routes, limits on
+// services, their request classes and latency targets, routes, tenants, limits on
 // requests and the measurement budget. All values are immutable.
 package descriptor
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,7 +78,7 @@
 	serviceState := snapshot.ServiceState(call.Service().Name())
 	serviceState.Budget().Deposit()
 	d.inFlight.Add(1)
-	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable}
+	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable, regions: call.Regions()}
 	answered := false
 	defer func() { // Also after a panic.
 		if !answered {
@@ -101,6 +101,8 @@
 	history         retrier.History
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
+	regions         descriptor.Regions   // Where the call may be processed.
+	admitted        bool                 // A slot was requested before.
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
 	closedWorkers   []registrar.WorkerID // By the verifier, which must not get the call.
@@ -152,8 +154,11 @@
 // admissionRequest returns the request for a slot. It names the workers that were
 // tried before, so that the limiter avoids them.
 func (c *activeCall) admissionRequest() limiter.Request {
+	isFirst := !c.admitted
+	c.admitted = true
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
-		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...)).
+		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
+		limiter.WithRegions(c.regions), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
@@ -248,7 +253,7 @@
 	case retrier.NotRun:
 		c.discard(a)
 		c.recordDecision("refuse", o.Reason(), a, 0, took, a.granted.CandidateSummary())
-		return c.notRunResult(o.Reason())
+		return c.notRunResult(o.Reason(), 0)
 	case retrier.Unknown:
 		c.discard(a)
 		c.recordDecision("unknown", o.Reason(), a, 0, took, a.granted.CandidateSummary())
@@ -260,12 +265,12 @@
 
 // notRunResult ends the call as not run, after checking that no attempt can have
 // run.
-func (c *activeCall) notRunResult(reason string) Result {
+func (c *activeCall) notRunResult(reason string, retryAfter time.Duration) Result {
 	c.dispatcher.asserter.Check(!c.history.MayHaveRun(), asserter.NotRun, func(e *zerolog.Event) {
 		e.Str("request-id", c.call.ID()).Int("attempts", c.history.Attempts())
 	})
 	c.dispatcher.metrics.countOutcome(c.call, "not-run")
-	return NotRun{reason: reason}
+	return NotRun{reason: reason, retryAfter: retryAfter}
 }
 
 // assertAttempts checks that an at-most-once call has at most one attempt that may
@@ -302,17 +307,24 @@
 		recorder.WithCandidates(rejection.CandidateSummary()),
 		recorder.WithTarget(c.call.Class().Target().Latency()),
 		recorder.WithTimes(rejection.Waited(), time.Since(c.call.Arrival()))))
-	return c.giveUp(reason)
+	if rejection.Reason() == limiter.ReasonOverLimit && !c.history.MayHaveRun() {
+		c.dispatcher.metrics.countOutcome(c.call, "over-limit")
+		return OverLimit{retryAfter: rejection.RetryAfter()}
+	}
+	return c.giveUpUntil(reason, rejection.RetryAfter())
 }
 
 // giveUp ends the call without a response: as unknown if an attempt may have run,
 // and otherwise as not run.
-func (c *activeCall) giveUp(reason string) Result {
+func (c *activeCall) giveUp(reason string) Result { return c.giveUpUntil(reason, 0) }
+
+// giveUpUntil is giveUp for a call that may be served after retryAfter, if that is known.
+func (c *activeCall) giveUpUntil(reason string, retryAfter time.Duration) Result {
 	if c.history.MayHaveRun() {
 		c.dispatcher.metrics.countOutcome(c.call, "unknown")
 		return Unknown{reason: reason}
 	}
-	return c.notRunResult(reason)
+	return c.notRunResult(reason, retryAfter)
 }
 
 // classLabels returns the metric labels of a service's class.
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"burdocklane/classifier"
 	"burdocklane/registrar"
@@ -17,7 +18,8 @@
 type RoundTrip func(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result
 
 // Result is the result of dispatching a call, for the front end to send to the
-// caller: [Answered], [NotRun], [Unknown], [Unmatched] or [NotReady].
+// caller: [Answered], [NotRun], [Unknown], [Unmatched], [Unauthorized], [OverLimit] or
+// [NotReady].
 type Result interface{ result() }
 
 // Answered means that the response of an attempt is to be forwarded.
@@ -29,7 +31,16 @@
 }
 
 // NotRun means that no worker ran the call.
-type NotRun struct{ reason string }
+type NotRun struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// OverLimit means that the call is beyond the rate limit of its tenant. It has not run.
+type OverLimit struct{ retryAfter time.Duration }
+
+// Unauthorized means that the request carries no API key that is in force. It has not run.
+type Unauthorized struct{}
 
 // Unknown means that a worker may have run the call and the outcome is not known.
 type Unknown struct{ reason string }
@@ -40,11 +51,13 @@
 // NotReady means that no configuration is active yet. The call has not run.
 type NotReady struct{}
 
-func (Answered) result()  {}
-func (NotRun) result()    {}
-func (Unknown) result()   {}
-func (Unmatched) result() {}
-func (NotReady) result()  {}
+func (Answered) result()     {}
+func (NotRun) result()       {}
+func (OverLimit) result()    {}
+func (Unknown) result()      {}
+func (Unmatched) result()    {}
+func (Unauthorized) result() {}
+func (NotReady) result()     {}
 
 // Attempt returns the number of the attempt whose response is to be forwarded.
 func (a Answered) Attempt() int { return a.attempt }
@@ -65,5 +78,11 @@
 // Reason returns why the call did not run.
 func (n NotRun) Reason() string { return n.reason }
 
+// RetryAfter returns when the caller may expect to be served, or 0 if that is unknown.
+func (n NotRun) RetryAfter() time.Duration { return n.retryAfter }
+
+// RetryAfter returns when the limit admits calls of the tenant again.
+func (o OverLimit) RetryAfter() time.Duration { return o.retryAfter }
+
 // Reason returns why no response arrived.
 func (u Unknown) Reason() string { return u.reason }
--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -27,9 +27,10 @@
 
 // Refused says why no slot was granted.
 type Refused struct {
-	reason  Reason
-	waited  time.Duration
-	summary CandidateSummary
+	reason     Reason
+	waited     time.Duration
+	retryAfter time.Duration
+	summary    CandidateSummary
 }
 
 func (Granted) admission() {}
@@ -70,5 +71,8 @@
 // Waited returns how long the call waited before it was refused.
 func (r Refused) Waited() time.Duration { return r.waited }
 
+// RetryAfter returns when the caller may expect to be served, or 0 if that is unknown.
+func (r Refused) RetryAfter() time.Duration { return r.retryAfter }
+
 // CandidateSummary returns the summary of the candidates that the decision was based on.
 func (r Refused) CandidateSummary() CandidateSummary { return r.summary }
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -28,7 +28,10 @@
 type HeldSlot struct{ granted Granted }
 
 // Rejected says that no worker has capacity.
-type Rejected struct{}
+type Rejected struct{ retryAfter time.Duration }
+
+// OverLimit says that the call is beyond the rate limit of its tenant.
+type OverLimit struct{ retryAfter time.Duration }
 
 // Undecided leaves the decision to this instance.
 type Undecided struct{}
@@ -36,6 +39,7 @@
 func (Assigned) assignment()  {}
 func (HeldSlot) assignment()  {}
 func (Rejected) assignment()  {}
+func (OverLimit) assignment() {}
 func (Undecided) assignment() {}
 
 // NewAssigned returns the assignment of a worker. The outcome of the call is
@@ -44,6 +48,14 @@
 	return Assigned{worker: worker, report: report}
 }
 
+// NewRejected returns a rejection. After retryAfter, if it is known, the call may be
+// served.
+func NewRejected(retryAfter time.Duration) Rejected { return Rejected{retryAfter: retryAfter} }
+
+// NewOverLimit returns a rejection of a call beyond the rate limit of its tenant, which
+// admits calls again after retryAfter.
+func NewOverLimit(retryAfter time.Duration) OverLimit { return OverLimit{retryAfter: retryAfter} }
+
 // NewHeldSlot returns the assignment of a slot that the pool itself granted.
 func NewHeldSlot(granted Granted) HeldSlot { return HeldSlot{granted: granted} }
 
@@ -101,7 +113,9 @@
 		r.granted.waited = time.Since(arrival)
 		return r.granted
 	case Rejected:
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival)}
+		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter}
+	case OverLimit:
+		return Refused{reason: ReasonOverLimit, waited: time.Since(arrival), retryAfter: r.retryAfter}
 	case Undecided:
 	}
 	return p.acquireByReportedLoad(ctx, req, arrival)
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"burdocklane/descriptor"
 	"burdocklane/registrar"
 )
 
@@ -19,6 +20,12 @@
 	ReasonOverload  Reason = "overload"
 	ReasonDeadline  Reason = "deadline"
 	ReasonCancelled Reason = "cancelled"
+	// ReasonOverLimit refuses a call beyond the rate limit of its tenant.
+	ReasonOverLimit Reason = "over-limit"
+	// ReasonNoRegion refuses a call that no region may process.
+	ReasonNoRegion Reason = "no-allowed-region"
+	// ReasonNoAllowedWorker refuses a call of which no worker is left that may process it.
+	ReasonNoAllowedWorker Reason = "no-allowed-worker"
 )
 
 // Request is a request for one slot.
@@ -35,6 +42,10 @@
 	noWait         bool
 	hedge          bool
 	lastResort     bool // Workers that are about to stop and still serve may be used too.
+	regions        descriptor.Regions
+	priority       int
+	tenant         *descriptor.Tenant // Or nil.
+	charged        bool
 }
 
 // RequestOption configures an optional property of a request.
@@ -49,6 +60,20 @@
 	return func(r *Request) { r.avoid = workers }
 }
 
+// WithRegions limits the regions whose workers may get the call.
+func WithRegions(regions descriptor.Regions) RequestOption {
+	return func(r *Request) { r.regions = regions }
+}
+
+// WithPriority sets the priority of the call; 0 is the highest.
+func WithPriority(rank int) RequestOption { return func(r *Request) { r.priority = rank } }
+
+// WithTenant sets the tenant of the call. If charged, the request counts against the
+// tenant's rate limit; only the first request of a call does.
+func WithTenant(t *descriptor.Tenant, charged bool) RequestOption {
+	return func(r *Request) { r.tenant, r.charged = t, charged }
+}
+
 // ForLoan marks a request for a slot to lend to a peer. It is queued behind
 // all of the instance's own calls.
 func ForLoan() RequestOption { return func(r *Request) { r.lending = true } }
@@ -112,6 +137,24 @@
 // for capacity.
 func (r Request) NoWait() bool { return r.noWait }
 
+// Regions returns the regions whose workers may get the call.
+func (r Request) Regions() descriptor.Regions { return r.regions }
+
+// Priority returns the priority of the call; 0 is the highest.
+func (r Request) Priority() int { return r.priority }
+
+// Tenant returns the tenant of the call, or nil.
+func (r Request) Tenant() *descriptor.Tenant { return r.tenant }
+
+// IsCharged reports whether the request counts against the tenant's rate limit.
+func (r Request) IsCharged() bool { return r.charged && r.tenant != nil }
+
+// Uncharged returns r as a request that does not count against the rate limit again.
+func (r Request) Uncharged() Request {
+	r.charged = false
+	return r
+}
+
 // pastTarget reports whether an answer can no longer meet the target.
 func (r *Request) pastTarget() bool { return time.Until(r.targetDeadline) <= 0 }
 
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -21,7 +21,7 @@
 		return p.grantAssigned(r, req, time.Now()), true
 	case HeldSlot:
 		return r.granted, true
-	case Rejected:
+	case Rejected, OverLimit:
 		return Granted{}, false
 	case Undecided:
 	}
--- a/listener/error.go
+++ b/listener/error.go
@@ -45,7 +45,7 @@
 	if !h.dialect.omitOwnHeaders {
 		header.Set(HeaderOutcome, outcome)
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable && header.Get("Retry-After") == "" {
 		h.dialect.setRetryAfter(header, randomRetryAfter())
 	}
 	w.WriteHeader(status)
@@ -59,7 +59,13 @@
 		h.writeError(w, id, http.StatusNotFound, outcomeNotRun, "no-class")
 	case dispatcher.NotReady:
 		h.writeError(w, id, http.StatusServiceUnavailable, outcomeNotRun, "no-configuration")
+	case dispatcher.Unauthorized:
+		h.writeError(w, id, http.StatusUnauthorized, outcomeNotRun, "unknown-key")
+	case dispatcher.OverLimit:
+		h.dialect.setRetryAfter(w.Header(), v.RetryAfter())
+		h.writeError(w, id, http.StatusTooManyRequests, outcomeNotRun, "over-limit")
 	case dispatcher.NotRun:
+		h.dialect.setRetryAfter(w.Header(), v.RetryAfter())
 		h.writeError(w, id, http.StatusServiceUnavailable, outcomeNotRun, v.Reason())
 	case dispatcher.Unknown:
 		h.writeError(w, id, http.StatusBadGateway, outcomeUnknown, v.Reason())
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -122,6 +122,7 @@
 	next := *old
 	next.deployment = d
 	next.index = classifier.NewIndex(d)
+	next.tenantsByHash = tenantsByHash(d)
 	next.activeSince = time.Now()
 	next.source = source
 	next.serviceStates = p.serviceStatesFor(old, d)
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -30,6 +30,7 @@
 	list          registrar.List
 	index         *classifier.Index
 	serviceStates map[descriptor.ServiceName]*ServiceState
+	tenantsByHash map[uint32]*descriptor.Tenant
 	activeSince   time.Time
 	source        string
 }
@@ -51,6 +52,18 @@
 // ServiceStates returns the states by service. The caller must not change the map.
 func (s *Snapshot) ServiceStates() map[descriptor.ServiceName]*ServiceState { return s.serviceStates }
 
+// TenantByHash returns the tenant whose name has the hash, or nil.
+func (s *Snapshot) TenantByHash(hash uint32) *descriptor.Tenant { return s.tenantsByHash[hash] }
+
+func tenantsByHash(d descriptor.Deployment) map[uint32]*descriptor.Tenant {
+	tenants := make(map[uint32]*descriptor.Tenant, len(d.Tenants()))
+	for i := range d.Tenants() {
+		tenant := &d.Tenants()[i]
+		tenants[registrar.Hash(tenant.Name())] = tenant
+	}
+	return tenants
+}
+
 // ActiveSince returns when the configuration became active on this instance.
 func (s *Snapshot) ActiveSince() time.Time { return s.activeSince }
 
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -33,16 +33,37 @@
 // assignmentRequest requests the assignment of a worker to a call.
 type assignmentRequest struct {
 	Kind           kind
-	Spare          bool // The call may only use spare capacity.
-	Second         bool // The call already has an attempt in flight.
+	Flags          requestFlags
+	Priority       uint8 // 0 is the highest.
 	Call           callID
 	Service        uint32 // Hash of the service's name.
+	Tenant         uint32 // Hash of the tenant's name, or 0.
 	TargetMs       uint16
 	TargetLeftMs   uint16             // Time left in which a response meets the latency target.
 	DeadlineLeftMs uint16             // Time left until the call's deadline.
 	Avoid          [maxAvoided]uint32 // Hashes of the IDs of workers that got earlier attempts.
 }
 
+// requestFlags are properties of an assignment request.
+type requestFlags uint8
+
+const (
+	flagSpare    requestFlags = 1 << iota // The call may only use spare capacity.
+	flagSecond                            // The call already has an attempt in flight.
+	flagConfined                          // Only workers of the scheduler's own region may get the call.
+	flagCharged                           // The call counts against its tenant's rate limit.
+)
+
+func (f requestFlags) has(flag requestFlags) bool { return f&flag != 0 }
+
+// setIf returns f with the flag if the condition holds.
+func (f requestFlags) setIf(flag requestFlags, condition bool) requestFlags {
+	if condition {
+		return f | flag
+	}
+	return f
+}
+
 type replyStatus uint8
 
 const (
@@ -52,16 +73,23 @@
 	// statusUnknownService says that the scheduler doesn't know the service, as it has
 	// another configuration: the requester decides itself.
 	statusUnknownService
+	// statusOverLimit says that the call is beyond the rate limit of its tenant.
+	statusOverLimit
 )
 
 // assignmentReply answers an assignment request. It carries the latest load report
 // of the worker.
 type assignmentReply struct {
-	Kind   kind
-	Status replyStatus
-	Call   callID
-	Worker uint32
-	Load   loadReport
+	Kind         kind
+	Status       replyStatus
+	Call         callID
+	Worker       uint32
+	Load         loadReport
+	RetryAfterMs uint16 // When a rejected call may be served, or 0 if that is unknown.
+}
+
+func (r assignmentReply) retryAfter() time.Duration {
+	return time.Duration(r.RetryAfterMs) * time.Millisecond
 }
 
 // completion reports the outcome of a call that a worker was assigned to. It
--- a/scheduler/message_test.go
+++ b/scheduler/message_test.go
@@ -14,8 +14,8 @@
 		name    string
 		message any
 	}{
-		{"request", &assignmentRequest{Kind: kindRequest, Spare: true, Call: callID{Requester: 1, Number: 2}, Service: 3, TargetMs: 4, TargetLeftMs: 5, DeadlineLeftMs: 6, Avoid: [maxAvoided]uint32{7, 8}}},
-		{"reply", &assignmentReply{Kind: kindReply, Status: statusAssigned, Call: callID{Requester: 1, Number: 2}, Worker: 3, Load: loadReport{Running: 1, Slots: 3, SlowdownPercent: 700}}},
+		{"request", &assignmentRequest{Kind: kindRequest, Flags: flagSpare | flagCharged, Priority: 9, Call: callID{Requester: 1, Number: 2}, Service: 3, Tenant: 10, TargetMs: 4, TargetLeftMs: 5, DeadlineLeftMs: 6, Avoid: [maxAvoided]uint32{7, 8}}},
+		{"reply", &assignmentReply{Kind: kindReply, Status: statusAssigned, Call: callID{Requester: 1, Number: 2}, Worker: 3, Load: loadReport{Running: 1, Slots: 3, SlowdownPercent: 700}, RetryAfterMs: 9}},
 		{"completion", &completion{Kind: kindCompletion, Finding: 2, Call: callID{Requester: 1, Number: 2}, Worker: 3}},
 	}
 	for _, test := range tests {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -12,11 +13,15 @@
 
 func newAssignmentRequest(c callID, p *limiter.Pool, request limiter.Request) assignmentRequest {
 	m := assignmentRequest{
-		Kind: kindRequest, Spare: request.NoWait(), Second: request.IsHedge(), Call: c, Service: registrar.Hash(p.Service()),
+		Kind: kindRequest, Flags: flagsOf(request), Priority: uint8(min(max(request.Priority(), 0), math.MaxUint8)),
+		Call: c, Service: registrar.Hash(p.Service()),
 		TargetMs:       clampMilliseconds(request.Target()),
 		TargetLeftMs:   clampMilliseconds(time.Until(request.TargetDeadline())),
 		DeadlineLeftMs: clampMilliseconds(time.Until(request.Deadline())),
 	}
+	if tenant := request.Tenant(); tenant != nil {
+		m.Tenant = registrar.Hash(tenant.Name())
+	}
 	for i, id := range request.Avoided() {
 		if i < maxAvoided {
 			m.Avoid[i] = registrar.Hash(id)
@@ -25,6 +30,11 @@
 	return m
 }
 
+func flagsOf(request limiter.Request) requestFlags {
+	return requestFlags(0).setIf(flagSpare, request.NoWait()).setIf(flagSecond, request.IsHedge()).
+		setIf(flagConfined, request.Regions().IsRestricted()).setIf(flagCharged, request.IsCharged())
+}
+
 // pendingRequest is an assignment request that waits for its reply.
 type pendingRequest struct {
 	owner     *Scheduler
@@ -51,8 +61,10 @@
 				return r.resolve(reply)
 			case statusUnknownService:
 				return limiter.Undecided{}
+			case statusOverLimit:
+				return limiter.NewOverLimit(reply.retryAfter())
 			}
-			return limiter.Rejected{}
+			return limiter.NewRejected(reply.retryAfter())
 		case <-ctx.Done():
 			r.withdraw()
 			return limiter.Rejected{}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -167,7 +167,7 @@
 		s.send(assignmentReply{Kind: kindReply, Status: statusUnknownService, Call: m.Call}, from)
 		return
 	}
-	request := service.toPool(m).OnBehalfOfPeer()
+	request := service.toPool(m, v.snapshot).OnBehalfOfPeer()
 	// Distances count from the requester's zone if it is in this region. A call of
 	// another region may go to any worker here.
 	if locality, ok := v.localities[m.Call.Requester]; ok && locality.Region() == s.self.Locality().Region() {
@@ -183,7 +183,7 @@
 		return
 	case picker.Wait:
 	}
-	if m.Spare {
+	if m.Flags.has(flagSpare) {
 		s.reject(m, from)
 		return
 	}
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -57,7 +57,7 @@
 }
 
 // toPool converts a received request to one for the pool.
-func (s *service) toPool(m assignmentRequest) limiter.Request {
+func (s *service) toPool(m assignmentRequest, snapshot *publisher.Snapshot) limiter.Request {
 	now := time.Now()
 	var avoid []registrar.WorkerID
 	for _, hash := range m.Avoid {
@@ -66,11 +66,12 @@
 		}
 	}
 	request := limiter.NewRequest(time.Duration(m.TargetMs)*time.Millisecond, now.Add(time.Duration(m.DeadlineLeftMs)*time.Millisecond),
-		limiter.WithAvoid(avoid...)).WithTargetDeadline(now.Add(time.Duration(m.TargetLeftMs) * time.Millisecond))
+		limiter.WithAvoid(avoid...), limiter.WithPriority(int(m.Priority)),
+		limiter.WithTenant(snapshot.TenantByHash(m.Tenant), m.Flags.has(flagCharged))).WithTargetDeadline(now.Add(time.Duration(m.TargetLeftMs) * time.Millisecond))
 	switch {
-	case m.Second:
+	case m.Flags.has(flagSecond):
 		return request.AsHedge()
-	case m.Spare:
+	case m.Flags.has(flagSpare):
 		return request.WithoutWaiting()
 	}
 	return request
