Limit the calls of each tenant over all instances

Cause: a tenant's rate limit was decoded and carried, and nothing kept to it. Change: a coordinator, chosen by the votes of most, owns a token bucket for each limited tenant and grants tokens ahead of the calls to the schedulers, which charge each call to them before they ask for a slot (granter, charger, elector, apportioner; datagrams on the scheduler's socket).

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/apportioner"
 	"burdocklane/asserter"
 	"burdocklane/dispatcher"
 	"burdocklane/drainer"
@@ -197,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := scheduler.New(p.self(), p.publisher, p.gossiper.LiveCoordinators, p.log)
+	a, err := scheduler.New(p.self(), p.publisher, p.gossiper.LiveCoordinators, p.log, scheduler.WithLimitTolerance(tolerance(p.settings.LimitTolerance())))
 	if err != nil {
 		return err
 	}
@@ -206,6 +207,10 @@
 	return nil
 }
 
+func tolerance(t adapter.LimitTolerance) apportioner.Tolerance {
+	return apportioner.NewTolerance(t.Window(), t.Share(), t.Requests())
+}
+
 // requestAssignment requests an assignment from the region's scheduler. It
 // returns Undecided while the instance is still starting.
 func (p *Process) requestAssignment(ctx context.Context, pool *limiter.Pool, request limiter.Request) limiter.Assignment {
--- /dev/null
+++ b/charger/account.go
@@ -0,0 +1,153 @@
+package charger
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"burdocklane/granter"
+)
+
+const (
+	// reserve is the number of tokens that a scheduler keeps of a tenant without calls, so
+	// that its next call finds one.
+	reserve = 2
+	// horizon is the time for whose calls a holder wants tokens: two requests to the owner
+	// and a lost one.
+	horizon = 500 * time.Millisecond
+	// deviations is for how many standard deviations more calls than expected a holder wants
+	// tokens, if calls come at random times.
+	deviations = 2
+	// riseWeight and fallWeight are the weights of a new sample in the moving average of a
+	// tenant's calls, which rises fast and falls slowly.
+	riseWeight = 0.5
+	fallWeight = 0.1
+	// askAgainInterval is the time between two requests for the reserve of a tenant without
+	// calls.
+	askAgainInterval = time.Second
+	// returnFactor times what a holder wants is what it keeps of a tenant's tokens.
+	returnFactor = 1.5
+	// unknown is the value of known while the owner may know something else.
+	unknown = -1
+)
+
+// account holds a tenant's tokens. Calls use the atomic fields; the others belong to the
+// one that exchanges messages with the owner.
+type account struct {
+	tenant  uint32
+	period  atomic.Pointer[period]
+	balance atomic.Int64
+	calls   atomic.Int64 // Since the last request.
+	refused atomic.Int64 // Since the last reply.
+	scarce  atomic.Bool  // The tenant has used up its limit, as the owner last said.
+	income  atomic.Int64 // Tokens per 1,000 seconds that the owner grants.
+	granted atomic.Int64 // When the owner last granted tokens.
+
+	capacity float64
+	rate     float64 // Calls a second.
+	known    int     // The balance that the owner knows, or unknown.
+	reported int
+	wanted   int
+	asked    time.Duration // When the last request had the tenant.
+}
+
+// period is the time between two reports of an account's balance to the owner. A token that
+// was used in it can be given back in it.
+type period struct{ account *account }
+
+func newAccount(tenant uint32) *account {
+	a := &account{tenant: tenant, known: unknown, asked: -askAgainInterval}
+	a.beginPeriod()
+	return a
+}
+
+func (a *account) beginPeriod() { a.period.Store(&period{account: a}) }
+
+// void drops all tokens.
+func (a *account) void() {
+	a.beginPeriod()
+	a.balance.Store(0)
+}
+
+// take uses a token, and returns how many are left. It returns false if there was none.
+func (a *account) take() (left int64, ok bool) {
+	for {
+		balance := a.balance.Load()
+		if balance <= 0 {
+			return 0, false
+		}
+		if a.balance.CompareAndSwap(balance, balance-1) {
+			return balance - 1, true
+		}
+	}
+}
+
+// observe updates the rate of the tenant's calls, and what the holder wants.
+func (a *account) observe(elapsed time.Duration, isScheduler bool) (calls int64) {
+	calls = a.calls.Swap(0)
+	weight := fallWeight
+	sample := float64(calls) / max(elapsed, time.Millisecond).Seconds()
+	if sample > a.rate {
+		weight = riseWeight
+	}
+	a.rate += weight * (sample - a.rate)
+	expected := a.rate * horizon.Seconds()
+	a.wanted = int(math.Round(expected + deviations*math.Sqrt(expected)))
+	if isScheduler {
+		a.wanted += reserve
+	}
+	a.wanted = min(a.wanted, math.MaxUint16)
+	return calls
+}
+
+// giveBack reduces the balance to what the holder wants if it is much more. The owner
+// learns of it by the next request.
+func (a *account) giveBack() {
+	for {
+		balance := a.balance.Load()
+		if float64(balance) <= returnFactor*float64(a.wanted) {
+			return
+		}
+		if a.balance.CompareAndSwap(balance, int64(a.wanted)) {
+			return
+		}
+	}
+}
+
+// isDue reports whether the next request has to have the tenant.
+func (a *account) isDue(now time.Duration, calls int64) bool {
+	balance := int(a.balance.Load())
+	if balance != a.known {
+		return balance > 0 || a.known > 0 || calls > 0 || now-a.asked >= askAgainInterval
+	}
+	return balance < a.wanted && (calls > 0 || now-a.asked >= askAgainInterval)
+}
+
+func (a *account) demand(now time.Duration) granter.Demand {
+	a.beginPeriod()
+	a.reported = int(min(a.balance.Load(), math.MaxUint16))
+	a.known, a.asked = unknown, now
+	return granter.NewDemand(a.tenant, a.reported, a.wanted)
+}
+
+// apply adds the tokens that the owner granted for the last request.
+func (a *account) apply(now, elapsed time.Duration, g granter.Grant) {
+	a.balance.Add(int64(g.Tokens()))
+	a.known = a.reported + g.Tokens()
+	a.scarce.Store(g.IsExhausted())
+	a.refused.Store(0)
+	if g.Tokens() > 0 {
+		a.granted.Store(int64(now))
+	}
+	const perThousand = 1000
+	income := float64(g.Tokens()) / max(elapsed, time.Millisecond).Seconds() * perThousand
+	a.income.Store(int64((float64(a.income.Load()) + income) / 2))
+}
+
+// retryAfter estimates when a token will be there for the caller that is refused now.
+func (a *account) retryAfter(random float64) time.Duration {
+	const perThousand = 1000
+	perSecond := max(float64(a.income.Load())/perThousand, 1/maxRetryAfter.Seconds())
+	wait := float64(a.refused.Load()+1) / perSecond * (0.5 + random)
+	return min(max(time.Duration(wait*float64(time.Second)), minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/charger/local.go
@@ -0,0 +1,81 @@
+package charger
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Local admits the few calls that an instance may admit of each tenant without a token: all
+// instances together stay inside the tolerance. It is safe for concurrent use.
+type Local struct {
+	window time.Duration
+	mutex  sync.Mutex // Serializes changes of the map.
+	rings  atomic.Pointer[map[uint32]*ring]
+}
+
+// ring holds the times of the last admitted calls of a tenant.
+type ring struct {
+	times []atomic.Int64
+	next  atomic.Uint64
+}
+
+// never is the time of a call that was not made.
+const never = -1 << 62
+
+// NewLocal returns a Local for the window of the tolerance.
+func NewLocal(window time.Duration) *Local {
+	l := &Local{window: window}
+	l.rings.Store(&map[uint32]*ring{})
+	return l
+}
+
+// Admit reports whether a call may pass, of which the instance may admit calls in a window.
+func (l *Local) Admit(now time.Duration, tenant uint32, calls int) bool {
+	if calls <= 0 {
+		return false
+	}
+	return l.ringOf(tenant, calls).admit(now, l.window)
+}
+
+// ringOf returns the tenant's ring. A ring of another size starts full, as the calls before
+// are not known any more.
+func (l *Local) ringOf(tenant uint32, calls int) *ring {
+	if r := (*l.rings.Load())[tenant]; r != nil && len(r.times) >= calls {
+		return r
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	old := *l.rings.Load()
+	if r := old[tenant]; r != nil && len(r.times) >= calls {
+		return r
+	}
+	r := &ring{times: make([]atomic.Int64, calls)}
+	for n := range r.times {
+		r.times[n].Store(never)
+		if old[tenant] != nil && n < len(old[tenant].times) {
+			r.times[n].Store(old[tenant].times[n].Load())
+		}
+	}
+	rings := make(map[uint32]*ring, len(old)+1)
+	for t, o := range old {
+		rings[t] = o
+	}
+	rings[tenant] = r
+	l.rings.Store(&rings)
+	return r
+}
+
+// admit takes the place of a call that left the window.
+func (r *ring) admit(now, window time.Duration) bool {
+	at := &r.times[r.next.Load()%uint64(len(r.times))]
+	oldest := at.Load()
+	if oldest != never && int64(now)-oldest < int64(window) {
+		return false
+	}
+	if !at.CompareAndSwap(oldest, int64(now)) {
+		return false
+	}
+	r.next.Add(1)
+	return true
+}
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -33,14 +33,22 @@
 // OverLimit says that the call is beyond the rate limit of its tenant.
 type OverLimit struct{ retryAfter time.Duration }
 
+// LimitUnknown says that it is not known whether the call is within the rate limit of its
+// tenant. It must not run.
+type LimitUnknown struct {
+	retryAfter time.Duration
+	isPending  bool
+}
+
 // Undecided leaves the decision to this instance.
-type Undecided struct{}
+type Undecided struct{ charged bool }
 
-func (Assigned) assignment()  {}
-func (HeldSlot) assignment()  {}
-func (Rejected) assignment()  {}
-func (OverLimit) assignment() {}
-func (Undecided) assignment() {}
+func (Assigned) assignment()     {}
+func (HeldSlot) assignment()     {}
+func (Rejected) assignment()     {}
+func (OverLimit) assignment()    {}
+func (LimitUnknown) assignment() {}
+func (Undecided) assignment()    {}
 
 // NewAssigned returns the assignment of a worker. The outcome of the call is
 // passed to report.
@@ -56,6 +64,22 @@
 // admits calls again after retryAfter.
 func NewOverLimit(retryAfter time.Duration) OverLimit { return OverLimit{retryAfter: retryAfter} }
 
+// NewLimitUnknown returns a rejection of a call whose tenant's rate limit is not known to
+// admit it. After retryAfter it may be known; if it is pending, within some milliseconds.
+func NewLimitUnknown(retryAfter time.Duration, isPending bool) LimitUnknown {
+	return LimitUnknown{retryAfter: retryAfter, isPending: isPending}
+}
+
+// IsPending reports whether the limit may be known within some milliseconds.
+func (l LimitUnknown) IsPending() bool { return l.isPending }
+
+// NewChargedUndecided returns Undecided for a call that is charged to its tenant's rate
+// limit already.
+func NewChargedUndecided() Undecided { return Undecided{charged: true} }
+
+// IsCharged reports whether the call is charged to its tenant's rate limit already.
+func (u Undecided) IsCharged() bool { return u.charged }
+
 // NewHeldSlot returns the assignment of a slot that the pool itself granted.
 func NewHeldSlot(granted Granted) HeldSlot { return HeldSlot{granted: granted} }
 
@@ -116,6 +140,8 @@
 		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter}
 	case OverLimit:
 		return Refused{reason: ReasonOverLimit, waited: time.Since(arrival), retryAfter: r.retryAfter}
+	case LimitUnknown:
+		return Refused{reason: ReasonLimitUnknown, waited: time.Since(arrival), retryAfter: r.retryAfter}
 	case Undecided:
 	}
 	return p.acquireByReportedLoad(ctx, req, arrival)
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -68,7 +68,7 @@
 		return Refused{reason: ReasonQueueFull, summary: summary}
 	}
 	p.dispatch()
-	timer := time.NewTimer(min(time.Duration(capacityWaitShare*float64(req.target)), maxCapacityWait))
+	timer := time.NewTimer(req.MaxWait())
 	defer timer.Stop()
 	select {
 	case granted := <-w.ready:
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -22,6 +22,9 @@
 	ReasonCancelled Reason = "cancelled"
 	// ReasonOverLimit refuses a call beyond the rate limit of its tenant.
 	ReasonOverLimit Reason = "over-limit"
+	// ReasonLimitUnknown refuses a call of which it is not known whether it is within the
+	// rate limit of its tenant.
+	ReasonLimitUnknown Reason = "limit-unknown"
 	// ReasonNoRegion refuses a call that no region may process.
 	ReasonNoRegion Reason = "no-allowed-region"
 	// ReasonNoAllowedWorker refuses a call of which no worker is left that may process it.
@@ -127,6 +130,11 @@
 // TargetDeadline returns the time until which an answer meets the class's target.
 func (r Request) TargetDeadline() time.Time { return r.targetDeadline }
 
+// MaxWait returns how long the call may wait for a slot, or for a token of its tenant.
+func (r Request) MaxWait() time.Duration {
+	return min(time.Duration(capacityWaitShare*float64(r.target)), maxCapacityWait)
+}
+
 // Deadline returns the time after which the call is abandoned.
 func (r Request) Deadline() time.Time { return r.deadline }
 
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdocklane/decoder"
+	"burdocklane/granter"
 	"burdocklane/limiter"
 	"burdocklane/tracker"
 )
@@ -20,6 +21,8 @@
 	kindRequest kind = iota + 1
 	kindReply
 	kindCompletion
+	kindTokenRequest
+	kindTokenReply
 )
 
 const maxAvoided = 2
@@ -75,6 +78,12 @@
 	statusUnknownService
 	// statusOverLimit says that the call is beyond the rate limit of its tenant.
 	statusOverLimit
+	// statusLimitUnknown says that the scheduler can't tell whether the call is within the
+	// rate limit of its tenant.
+	statusLimitUnknown
+	// statusLimitPending is statusLimitUnknown where the scheduler has just asked for more
+	// tokens.
+	statusLimitPending
 )
 
 // assignmentReply answers an assignment request. It carries the latest load report
@@ -137,7 +146,19 @@
 	pool.RecordReport(w, report.FromPeer())
 }
 
-// decode returns a *assignmentRequest, a *assignmentReply or a *completion.
+// encode returns the datagram of a message.
+func encode(message any) ([]byte, error) {
+	switch m := message.(type) {
+	case granter.Request:
+		return encodeTokenRequest(m)
+	case granter.Reply:
+		return encodeTokenReply(m)
+	}
+	return decoder.Append(nil, message)
+}
+
+// decode returns a *assignmentRequest, a *assignmentReply, a *completion, a
+// granter.Request or a granter.Reply.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
 		return nil, decoder.NewDatagramError("is empty")
@@ -150,6 +171,10 @@
 		message = &assignmentReply{}
 	case kindCompletion:
 		message = &completion{}
+	case kindTokenRequest:
+		return decodeTokenRequest(data)
+	case kindTokenReply:
+		return decodeTokenReply(data)
 	default:
 		return nil, decoder.NewDatagramError(fmt.Sprintf("kind %d", data[0]))
 	}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -63,6 +63,8 @@
 				return limiter.Undecided{}
 			case statusOverLimit:
 				return limiter.NewOverLimit(reply.retryAfter())
+			case statusLimitUnknown, statusLimitPending:
+				return limiter.NewLimitUnknown(reply.retryAfter(), reply.Status == statusLimitPending)
 			}
 			return limiter.NewRejected(reply.retryAfter())
 		case <-ctx.Done():
@@ -96,7 +98,7 @@
 	}
 	if worker == nil || r.pool.IsClosed(worker) {
 		r.withdraw()
-		return limiter.Undecided{}
+		return limiter.NewChargedUndecided()
 	}
 	reply.Load.apply(r.pool, worker)
 	return limiter.NewAssigned(worker, func(f limiter.CallOutcome) {
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -6,14 +6,55 @@
 	"slices"
 	"time"
 
+	"burdocklane/charger"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/registrar"
+	"burdocklane/sleeper"
 )
 
 // Assign returns the worker for a call, which the service's scheduler assigns.
 // The pool calls it for each call that needs a slot.
 func (s *Scheduler) Assign(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	assignment := s.assign(ctx, p, request)
+	if !request.IsCharged() {
+		return assignment
+	}
+	if r, ok := assignment.(limiter.Undecided); ok && !r.IsCharged() && request.Tenant().RateLimit().IsLimited() {
+		assignment = s.assignBySuccessor(ctx, p, request)
+	}
+	if r, ok := assignment.(limiter.LimitUnknown); ok && r.IsPending() && sleeper.Sleep(ctx, request.MaxWait()) {
+		assignment = s.assign(ctx, p, request)
+	}
+	switch r := assignment.(type) {
+	case limiter.Undecided:
+		if !r.IsCharged() && !s.limits.admitLocally(request.Tenant()) {
+			return unknown()
+		}
+	case limiter.LimitUnknown:
+		if s.limits.admitLocally(request.Tenant()) {
+			return s.assign(ctx, p, request.Uncharged())
+		}
+	}
+	return assignment
+}
+
+// assignBySuccessor requests an assignment from the instance that would be the service's
+// scheduler without the present one, which does not answer: it can charge the call to the
+// rate limit of its tenant.
+func (s *Scheduler) assignBySuccessor(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	live := s.live()
+	successor, ok := registrar.RendezvousOwner(live, string(p.Service()), schedulerOf(live, p, s.self).ID())
+	switch {
+	case !ok || s.inBackoff(successor):
+		return limiter.Undecided{}
+	case successor.ID() == s.self.ID():
+		return s.assignLocally(ctx, p, request)
+	}
+	return s.sendRequest(ctx, p, request, successor, replyTimeout)
+}
+
+func (s *Scheduler) assign(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
 	scheduler := schedulerOf(s.live(), p, s.self)
 	if scheduler.ID() == s.self.ID() {
 		return s.assignLocally(ctx, p, request)
@@ -27,12 +68,29 @@
 // assignLocally assigns a worker to a call of this instance, which is itself the
 // scheduler.
 func (s *Scheduler) assignLocally(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	switch v := s.limits.charge(request).(type) {
+	case charger.OverLimit:
+		return limiter.NewOverLimit(v.RetryAfter())
+	case charger.Short:
+		return limiter.NewLimitUnknown(v.RetryAfter(), v.IsPending())
+	case charger.Charged:
+		assignment := s.assignCharged(ctx, p, request.Uncharged())
+		if _, ok := assignment.(limiter.Rejected); ok {
+			s.limits.charger.Refund(v)
+		}
+		return assignment
+	}
+	return limiter.Undecided{}
+}
+
+// assignCharged assigns a worker to a call that counts against no limit any more.
+func (s *Scheduler) assignCharged(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
 	granted, decision := p.TryGrant(request.LocalOnly())
 	switch decision.(type) {
 	case picker.Send:
 		return limiter.NewHeldSlot(granted)
 	case picker.Refuse:
-		return limiter.Undecided{}
+		return limiter.NewChargedUndecided()
 	case picker.Wait:
 	}
 	if request.NoWait() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,7 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"burdocklane/decoder"
+	"burdocklane/apportioner"
+	"burdocklane/charger"
+	"burdocklane/granter"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/publisher"
@@ -66,6 +68,7 @@
 	pending    sync.Map // From call number to *pendingRequest.
 	backoff    sync.Map // From instance ID to the time until which it gets no requests.
 	grants     sync.Map // From callID to *grant.
+	limits     *limits
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -80,9 +83,18 @@
 	expires  time.Time
 }
 
+// Option sets one property of a Scheduler.
+type Option func(*Scheduler)
+
+// WithLimitTolerance sets how far all instances together may exceed a rate limit. By
+// default they may not.
+func WithLimitTolerance(t apportioner.Tolerance) Option {
+	return func(s *Scheduler) { s.limits = newLimits(s, t) }
+}
+
 // New listens on the instance's port for assignment requests. The function live
 // returns the coordinators of the region that are alive.
-func New(self registrar.Instance, p *publisher.Publisher, live func() []registrar.Instance, log zerolog.Logger) (*Scheduler, error) {
+func New(self registrar.Instance, p *publisher.Publisher, live func() []registrar.Instance, log zerolog.Logger, opts ...Option) (*Scheduler, error) {
 	address, err := net.ResolveUDPAddr("udp4", self.SchedulerAddress())
 	if err != nil {
 		return nil, errors.Wrap(err, "resolve the address for assignment requests")
@@ -98,8 +110,13 @@
 		socket: socket, ctx: ctx, cancel: cancel,
 	}
 	s.view.Store(&view{})
+	s.limits = newLimits(s, apportioner.Tolerance{})
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.goroutines.Go(s.receive)
 	s.goroutines.Go(s.sweep)
+	s.goroutines.Go(s.limits.run)
 	return s, nil
 }
 
@@ -116,7 +133,7 @@
 }
 
 func (s *Scheduler) send(message any, to *net.UDPAddr) {
-	data, err := decoder.Append(nil, message)
+	data, err := encode(message)
 	if err != nil {
 		s.log.Error().Err(err).Msg("datagram could not be made")
 		return
@@ -156,6 +173,12 @@
 		s.handleReply(*m)
 	case *completion:
 		s.handleCompletion(*m)
+	case granter.Request:
+		if reply, ok := s.limits.answer(m); ok {
+			s.send(reply, from)
+		}
+	case granter.Reply:
+		s.limits.receive(m)
 	}
 }
 
@@ -173,30 +196,58 @@
 	if locality, ok := v.localities[m.Call.Requester]; ok && locality.Region() == s.self.Locality().Region() {
 		request = request.FromLocality(locality)
 	}
+	charge, ok := s.chargeRemote(m, request, from)
+	if !ok {
+		return
+	}
+	request = request.Uncharged()
 	granted, decision := service.pool.TryGrant(request.LocalOnly())
 	switch decision.(type) {
 	case picker.Send:
-		s.grantSlot(m, service, limiter.NewHeldSlot(granted), from)
+		s.grantSlot(m, service, limiter.NewHeldSlot(granted), charge, from)
 		return
 	case picker.Refuse:
-		s.reject(m, from)
+		s.reject(m, charge, from)
 		return
 	case picker.Wait:
 	}
 	if m.Flags.has(flagSpare) {
-		s.reject(m, from)
+		s.reject(m, charge, from)
 		return
 	}
 	s.send(assignmentReply{Kind: kindReply, Status: statusQueued, Call: m.Call}, from)
 	s.goroutines.Go(func() {
 		recoverer.Do(s.log, "queued assignment", func() { //nolint:errcheck // Logged.
-			s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), from)
+			s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), charge, from)
 		})
 	})
 }
 
+// chargeRemote charges a call of another instance to its tenant's rate limit. It answers the
+// request and returns false if that is not possible.
+func (s *Scheduler) chargeRemote(m assignmentRequest, request limiter.Request, from *net.UDPAddr) (charge charger.Charged, ok bool) {
+	reply := assignmentReply{Kind: kindReply, Status: statusLimitUnknown, Call: m.Call}
+	if m.Flags.has(flagCharged) && request.Tenant() == nil { // The requester has another configuration.
+		s.send(reply, from)
+		return charge, false
+	}
+	switch v := s.limits.charge(request).(type) {
+	case charger.Charged:
+		return v, true
+	case charger.OverLimit:
+		reply.Status, reply.RetryAfterMs = statusOverLimit, clampMilliseconds(v.RetryAfter())
+	case charger.Short:
+		reply.RetryAfterMs = clampMilliseconds(v.RetryAfter())
+		if v.IsPending() {
+			reply.Status = statusLimitPending
+		}
+	}
+	s.send(reply, from)
+	return charge, false
+}
+
 // grantSlot records the grant and replies with the worker, or rejects the request.
-func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, to *net.UDPAddr) {
+func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, charge charger.Charged, to *net.UDPAddr) {
 	start := time.Now()
 	g := &grant{pool: service.pool, expires: time.Now().Add(time.Duration(m.DeadlineLeftMs)*time.Millisecond + expiryGrace)}
 	switch r := assignment.(type) {
@@ -209,7 +260,7 @@
 	case limiter.Assigned:
 		g.worker, g.complete = r.Worker(), r.ReportOutcome
 	default:
-		s.reject(m, to)
+		s.reject(m, charge, to)
 		return
 	}
 	s.grants.Store(m.Call, g)
@@ -220,8 +271,10 @@
 	}, to)
 }
 
-func (s *Scheduler) reject(m assignmentRequest, to *net.UDPAddr) {
+// reject rejects the request for lack of capacity, and gives its token back.
+func (s *Scheduler) reject(m assignmentRequest, charge charger.Charged, to *net.UDPAddr) {
 	rejectedTotal.Inc()
+	s.limits.charger.Refund(charge)
 	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call}, to)
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -26,6 +26,7 @@
 	instances  []registrar.Instance
 	schedulers []*scheduler.Scheduler
 	pools      []*limiter.Pool
+	tenants    []descriptor.Tenant
 }
 
 // freeAddress returns an address with a port below the ephemeral range, so that no
@@ -43,8 +44,13 @@
 }
 
 func newRegion(c *qt.C, instances, workers int) *region {
+	return newRegionOf(c, instances, workers, nil)
+}
+
+// newRegionOf starts a region that knows the tenants.
+func newRegionOf(c *qt.C, instances, workers int, tenants []descriptor.Tenant) *region {
 	here := registrar.NewLocality("r", "z")
-	r := &region{}
+	r := &region{tenants: tenants}
 	for n := range instances {
 		i := registrar.NewInstance(registrar.InstanceID(fmt.Sprintf("i%d", n)), "", "", here, false)
 		r.instances = append(r.instances, i.WithSchedulerAddress(freeAddress(c)))
@@ -61,7 +67,7 @@
 // live coordinators.
 func (r *region) open(c *qt.C, members []registrar.Worker) {
 	service := descriptor.NewService("s", nil, nil)
-	d := descriptor.NewDeployment("d", descriptor.MeasurementBudget{}, []descriptor.Service{service}).WithRevision(1, descriptor.Change{})
+	d := descriptor.NewDeployment("d", descriptor.MeasurementBudget{}, []descriptor.Service{service}).WithTenants(r.tenants).WithRevision(1, descriptor.Change{})
 	for _, self := range r.instances {
 		p := publisher.New(self, publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})))
 		c.Assert(p.PublishDeployment(d, "test"), qt.IsNil)
