Give each port of the tests' range out once, and bound the tests' waits

Cause: launcher.FreePorts and FreePair drew ports that were free at that moment and let go of them. Twelve instances draw 48 of 20,000, so that two of a zone got the same port in about one start of twenty, and packages that are tested at once drew from the same range. One of the two did not start, and awaitRegistration waited for its entry without a deadline: that is the run of bootstrapper without an end. The waits have a deadline and say what they waited for.

--- a/bootstrapper/bootstrapper_test.go
+++ b/bootstrapper/bootstrapper_test.go
@@ -124,11 +124,26 @@
 
 // awaitStatus repeats a call until it returns the status.
 func (e *environment) awaitStatus(path string, status int) {
-	for {
-		if got, _ := e.call(path); got == status {
-			return
+	await(e.c, fmt.Sprintf("status %d of %s", status, path), func() bool {
+		got, _ := e.call(path)
+		return got == status
+	})
+}
+
+const (
+	// maxWait is how long a test waits for something that has no bound of its own.
+	maxWait = time.Minute
+	// waitInterval is how often a test looks whether it has happened.
+	waitInterval = 5 * time.Millisecond
+)
+
+// await waits until what is named has happened. It fails the test after maxWait.
+func await(c *qt.C, what string, happened func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(maxWait); !happened(); time.Sleep(waitInterval) {
+		if time.Now().After(deadline) {
+			c.Fatalf("waited %v in vain for %s", maxWait, what)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 }
 
@@ -167,11 +182,10 @@
 	e.store.Put("op/config", configuration(4, "/a/"))
 	e.store.Put("servers/two", two("ready"))
 	e.store.Put("servers/one", one("draining"))
-	for {
-		if _, body := e.call("/b/2"); body == "two" {
-			break
-		}
-	}
+	await(c, "a response of the added worker", func() bool {
+		_, body := e.call("/b/2")
+		return body == "two"
+	})
 	status, _ = e.call("/a/1")
 	c.Assert(status, qt.Equals, http.StatusNotFound, qt.Commentf("an older configuration is not applied again"))
 
@@ -190,9 +204,7 @@
 
 	stopped := make(chan error, 1)
 	go func() { stopped <- e.instance.Close() }()
-	for e.isReady() {
-		time.Sleep(time.Millisecond)
-	}
+	await(c, "the instance to be taken out of rotation", func() bool { return !e.isReady() })
 	status, _ = e.call("/c/2")
 	c.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("a draining instance still serves"))
 	c.Assert(<-stopped, qt.IsNil)
--- a/bootstrapper/discovery_test.go
+++ b/bootstrapper/discovery_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	adapter "burdocklane/platform"
 	"burdocklane/platform/imitator"
 
 	qt "github.com/frankban/quicktest"
@@ -106,7 +107,12 @@
 }
 
 // start starts all instances at the same time.
-func (z *zone) start() { z.each((*environment).start) }
+func (z *zone) start() {
+	z.each((*environment).start)
+	for _, e := range z.members {
+		z.c.Assert(e.instance, qt.IsNotNil, qt.Commentf("instance %s did not start", e.settings.Instance()))
+	}
+}
 
 // stop stops all instances that run.
 func (z *zone) stop() {
@@ -128,16 +134,15 @@
 }
 
 func (z *zone) awaitReady() {
-	z.each(func(e *environment) {
-		for !e.isReady() {
-			time.Sleep(5 * time.Millisecond)
-		}
-	})
+	for _, e := range z.members {
+		await(z.c, string(e.settings.Instance())+" to be ready", e.isReady)
+	}
 }
 
 // awaitRegistration waits until the store has the entries of all instances.
 func (z *zone) awaitRegistration() {
-	for z.store.Count("burdocklane/instances/") < len(z.members) {
-		time.Sleep(5 * time.Millisecond)
+	for _, e := range z.members {
+		key := adapter.ZonePrefix("z") + string(e.settings.Instance())
+		await(z.c, "the entry "+key, func() bool { return z.store.Has(key) })
 	}
 }
--- a/bootstrapper/restore_test.go
+++ b/bootstrapper/restore_test.go
@@ -36,9 +36,7 @@
 	empty := store.Backup()
 	e := startInstance(c, store, "edge-1", "z", store.Address())
 	c.Cleanup(func() { c.Check(e.instance.Close(), qt.IsNil) })
-	for !hasKey(c, store, adapter.InstancePrefix) {
-		time.Sleep(10 * time.Millisecond)
-	}
+	await(c, "the instance's entry", func() bool { return hasKey(c, store, adapter.InstancePrefix) })
 	store.SetDown(true)
 	time.Sleep(time.Second)
 	store.Restore(empty)
--- a/bootstrapper/stop_test.go
+++ b/bootstrapper/stop_test.go
@@ -38,14 +38,10 @@
 			e.hangs = test.hangs
 			e.store.Put("servers/one", e.startWorker("one", &requests)("ready"))
 			e.store.Put("op/config", configuration(3, "/a/"))
-			for !e.isReady() {
-				time.Sleep(time.Millisecond)
-			}
+			await(c, "the instance to be ready", e.isReady)
 			stopped := make(chan error, 1)
 			go func() { stopped <- e.instance.Close() }()
-			for e.isReady() {
-				time.Sleep(time.Millisecond)
-			}
+			await(c, "the instance to be taken out of rotation", func() bool { return !e.isReady() })
 			time.Sleep(test.connectAfter)
 			conn, err := net.Dial("tcp", e.callers)
 			c.Assert(err, qt.IsNil)
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -201,11 +201,7 @@
 func assignPorts(c *qt.C) int {
 	for range portBlocks {
 		first := minPort + int(lastPortBlock.Add(1)%portBlocks)*portsPerInstance
-		free := true
-		for port := first; port < first+portsPerInstance; port++ {
-			free = free && launcher.IsFree(host, port)
-		}
-		if free {
+		if launcher.Reserve(host, first, portsPerInstance) {
 			return first
 		}
 	}
@@ -213,7 +209,7 @@
 	return 0
 }
 
-// isFree reports whether the port is free for connections and for datagrams.
+// address returns host:port of the soak's host.
 func address(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
 
 func (f *fleet) addInstance(name, zone string) {
