Authenticate calls by the API keys of tenants

The configuration declares tenants and their keys, and nothing read them: workers got the keys, and requests without one ran. Without tenants, headers are passed on as before.

--- a/classifier/request.go
+++ b/classifier/request.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"burdocklane/authenticator"
 	"burdocklane/descriptor"
 )
 
@@ -18,6 +19,7 @@
 	caller         string
 	idempotencyKey string
 	timeout        time.Duration
+	credential     authenticator.Credential
 }
 
 // RequestOption sets one property of a [Request].
@@ -47,16 +49,24 @@
 	return r
 }
 
+// WithCredential returns the request with what it presents to show its tenant. It is no
+// option since that would allocate for each request.
+func (r Request) WithCredential(c authenticator.Credential) Request {
+	r.credential = c
+	return r
+}
+
 // Call is a request with its service and class.
 type Call struct {
-	id             string
-	service        *descriptor.Service
-	class          *descriptor.Class
-	caller         string
-	idempotencyKey string
-	arrival        time.Time
-	deadline       time.Time
-	tenant         *descriptor.Tenant // Or nil.
+	id              string
+	service         *descriptor.Service
+	class           *descriptor.Class
+	caller          string
+	idempotencyKey  string
+	arrival         time.Time
+	deadline        time.Time
+	tenant          *descriptor.Tenant // Or nil.
+	hidesCredential bool
 }
 
 // NewCall returns a call of the class that arrived at the given time and fails at the
@@ -68,13 +78,19 @@
 // ID returns the request ID.
 func (c *Call) ID() string { return c.id }
 
-// ForTenant returns the call as one of the tenant.
+// ForTenant returns the call as one of the tenant, or as an anonymous one with nil. In
+// both cases the credential of the request is not for the worker.
 func (c *Call) ForTenant(t *descriptor.Tenant) Call {
 	owned := *c
 	owned.tenant = t
+	owned.hidesCredential = true
 	return owned
 }
 
+// HidesCredential reports whether the system authenticates callers: the worker gets the
+// call's tenant and not the credential. Otherwise both are the caller's business.
+func (c *Call) HidesCredential() bool { return c.hidesCredential }
+
 // Tenant returns the tenant whose API key the request carried, or nil if it needs none.
 func (c *Call) Tenant() *descriptor.Tenant { return c.tenant }
 
@@ -138,3 +154,6 @@
 
 // ID returns the request ID.
 func (r Request) ID() string { return r.id }
+
+// Credential returns what the request presents to show its tenant.
+func (r Request) Credential() authenticator.Credential { return r.credential }
--- a/descriptor/tenant.go
+++ b/descriptor/tenant.go
@@ -11,8 +11,18 @@
 // KeyDigest is the SHA-256 digest of an API key. Keys themselves are not kept.
 type KeyDigest [sha256.Size]byte
 
+// usualKeyBytes is the length up to which a key is digested without an allocation.
+const usualKeyBytes = 256
+
 // DigestKey returns the digest of an API key.
-func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+func DigestKey(key string) KeyDigest {
+	if len(key) > usualKeyBytes {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [usualKeyBytes]byte
+	n := copy(buffer[:], key)
+	return sha256.Sum256(buffer[:n])
+}
 
 // RateLimit limits how many requests all instances together admit: a rate in requests per
 // second and a burst in requests. The zero value is no limit.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -59,7 +59,8 @@
 // is returned or, for [Answered], until Finish is called.
 func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
 
-// Dispatch classifies a request and runs it as a call, with retries and hedging.
+// Dispatch classifies and authenticates a request and runs it as a call, with retries and
+// hedging. The configuration that is active at the beginning applies to the whole call.
 // replayable reports whether the front end can send the request body more than
 // once. If the result is [Answered], the caller must call its Finish.
 func (d *Dispatcher) Dispatch(ctx context.Context, request classifier.Request, replayable bool, roundTrip RoundTrip) Result {
@@ -71,7 +72,11 @@
 	if !ok {
 		return Unmatched{}
 	}
-	call, inTime := d.stop.Load().limit(matched.Call())
+	authenticated, ok := d.authenticate(snapshot, request, matched.Call())
+	if !ok {
+		return Unauthorized{}
+	}
+	call, inTime := d.stop.Load().limit(authenticated)
 	if !inTime {
 		return d.rejectLate(&call)
 	}
--- a/dispatcher/metrics.go
+++ b/dispatcher/metrics.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"burdocklane/authenticator"
 	"burdocklane/classifier"
 	"burdocklane/descriptor"
 	"burdocklane/retrier"
@@ -16,6 +17,7 @@
 	hedges   *metrics.Counter
 	attempts sync.Map // Result text to *metrics.Counter.
 	classes  sync.Map // classKey to *classMetrics.
+	tenants  tenantCounters
 }
 
 type classKey struct {
@@ -35,6 +37,11 @@
 	return &callMetrics{hedges: metrics.GetOrCreateCounter("burdocklane_hedges_total")}
 }
 
+// countUnauthorized counts a request without an API key that is in force.
+func (m *callMetrics) countUnauthorized(reason authenticator.Reason) {
+	metrics.GetOrCreateCounter(`burdocklane_unauthorized_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 func (m *callMetrics) countAttempt(result retrier.Result) {
 	text := retrier.ResultText(result)
 	counter, ok := m.attempts.Load(text)
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -46,6 +46,7 @@
 	WaitedMs   float64   `json:"waited-ms"`
 	TookMs     float64   `json:"took-ms"`
 	Revision   int64     `json:"revision"`
+	ActiveMs   float64   `json:"active-ms"`
 }
 
 // At returns when the logged event happened, by the instance's clock.
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -128,10 +128,21 @@
 		return fmt.Sprintf("no usable worker of %s (%s)", f.Service, f.Candidates)
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
+	case "key-missing":
+		return "it carried no API key, which " + f.configuration() + " requires"
+	case "key-malformed":
+		return "its Authorization was not one bearer token, which " + f.configuration() + " requires"
+	case "key-unknown":
+		return "no tenant of " + f.configuration() + " holds its API key"
 	}
 	return f.Reason
 }
 
+// configuration names the configuration that a decision was based on.
+func (f lineFields) configuration() string {
+	return fmt.Sprintf("configuration %d (active for %.0f ms)", f.Revision, f.ActiveMs)
+}
+
 // lostReason returns why the outcome of a call is unknown.
 func lostReason(f lineFields) string {
 	reason := fmt.Sprintf("attempt %d at worker %s ended after %.1f ms", f.Attempt, f.Worker, f.TookMs)
--- a/listener/dialect.go
+++ b/listener/dialect.go
@@ -19,6 +19,7 @@
 	loadHeader      string
 	notRunHeader    string
 	leavingHeader   string
+	tenantHeader    string
 	omitOwnHeaders  bool
 	bufferChunks    bool
 }
@@ -69,6 +70,11 @@
 // about to stop. It is passed on to the caller; the default one is not.
 func WithLeavingHeader(name string) DialectOption { return func(d *Dialect) { d.leavingHeader = name } }
 
+// WithTenantHeader names the request header in which workers get the name of the tenant.
+func WithTenantHeader(name string) DialectOption {
+	return func(d *Dialect) { d.tenantHeader = http.CanonicalHeaderKey(name) }
+}
+
 // WithBufferedChunks buffers short chunked request bodies, so that they can be
 // sent again.
 func WithBufferedChunks() DialectOption { return func(d *Dialect) { d.bufferChunks = true } }
@@ -80,7 +86,7 @@
 // NewDialect returns a Dialect that uses GRPCTimeout unless an option sets
 // another format.
 func NewDialect(opts ...DialectOption) Dialect {
-	d := Dialect{timeoutFormat: GRPCTimeout{}, leavingHeader: HeaderDrain}
+	d := Dialect{timeoutFormat: GRPCTimeout{}, leavingHeader: HeaderDrain, tenantHeader: HeaderTenant}
 	for _, opt := range opts {
 		opt(&d)
 	}
--- a/listener/dialect_test.go
+++ b/listener/dialect_test.go
@@ -36,21 +36,30 @@
 	listener.WithLoadHeader("X-Load"),
 	listener.WithNotRunHeader("X-Not-Run"),
 	listener.WithLeavingHeader("X-Leaving"),
+	listener.WithTenantHeader("x-tenant-name"),
 	listener.WithBufferedChunks(),
 	listener.WithoutBurdocklaneHeaders())
 
 // startDialectListener starts a listener that uses the dialect with the given
 // workers behind it.
 func startDialectListener(c *qt.C, repeat descriptor.CallSemantics, workers ...http.HandlerFunc) string {
-	locality := registrar.NewLocality("r", "z")
-	p := publisher.New(registrar.NewInstance("i", "", "", locality, false),
-		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})))
 	class := descriptor.NewClass("c", descriptor.WithPaths("/a/"), descriptor.WithCallSemantics(repeat),
 		descriptor.WithTarget(descriptor.NewTarget(time.Minute, 0.9)), descriptor.WithDeadline(time.Minute))
 	route := descriptor.NewRoute("h.example", class, descriptor.NewWeightedService("s", 1))
 	d := descriptor.NewDeployment("d", descriptor.MeasurementBudget{}, []descriptor.Service{descriptor.NewService("s", nil, nil)}).
 		WithRoutes([]descriptor.Route{route})
-	c.Assert(p.PublishDeployment(d.WithRevision(1, descriptor.Change{}), "test"), qt.IsNil)
+	return startDialectListenerFor(c, d.WithRevision(1, descriptor.Change{}), workers...)
+}
+
+// startDialectListenerFor is startDialectListener for a configuration with a service "s".
+// Without a revision, no configuration is in force.
+func startDialectListenerFor(c *qt.C, d descriptor.Deployment, workers ...http.HandlerFunc) string {
+	locality := registrar.NewLocality("r", "z")
+	p := publisher.New(registrar.NewInstance("i", "", "", locality, false),
+		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{})))
+	if d.Revision() > 0 {
+		c.Assert(p.PublishDeployment(d, "test"), qt.IsNil)
+	}
 	var members []registrar.Worker
 	for n, worker := range workers {
 		upstream := httptest.NewServer(worker)
--- a/listener/error.go
+++ b/listener/error.go
@@ -60,6 +60,7 @@
 	case dispatcher.NotReady:
 		h.writeError(w, id, http.StatusServiceUnavailable, outcomeNotRun, "no-configuration")
 	case dispatcher.Unauthorized:
+		w.Header().Set("WWW-Authenticate", bearerScheme)
 		h.writeError(w, id, http.StatusUnauthorized, outcomeNotRun, "unknown-key")
 	case dispatcher.OverLimit:
 		h.dialect.setRetryAfter(w.Header(), v.RetryAfter())
--- a/listener/header.go
+++ b/listener/header.go
@@ -29,6 +29,8 @@
 	HeaderOutcome = "Burdocklane-Outcome"
 	// HeaderDrain is set by a worker that is draining.
 	HeaderDrain = "Burdocklane-Drain"
+	// HeaderTenant carries the name of the tenant whose API key the caller has sent.
+	HeaderTenant = "Burdocklane-Tenant"
 	// HeaderForwardedFor lists the addresses of the caller and of the proxies.
 	HeaderForwardedFor = "X-Forwarded-For"
 )
@@ -62,7 +64,8 @@
 		classifier.WithCaller(callerAddress(r)),
 		classifier.WithIdempotencyKey(r.Header.Get(HeaderIdempotencyKey)),
 		classifier.WithHost(r.Host),
-		classifier.WithTimeout(d.callerTimeout(r.Header)))
+		classifier.WithTimeout(d.callerTimeout(r.Header))).
+		WithCredential(readCredential(r.Header))
 }
 
 // requestID returns the caller's request ID if it is short and printable ASCII
--- a/listener/outgoing.go
+++ b/listener/outgoing.go
@@ -20,6 +20,11 @@
 	header.Set(HeaderRequestID, x.id)
 	x.handler.dialect.setTimeout(header, time.Until(call.Deadline()))
 	x.handler.dialect.setTarget(header, worker)
+	body := x.body.open()
+	if call.HidesCredential() {
+		x.handler.dialect.setTenant(header, call.Tenant())
+		body = x.handler.dialect.hideTrailers(body, x.body.trailer)
+	}
 	if !x.handler.dialect.omitOwnHeaders {
 		addForwardedFor(header, inbound)
 	}
@@ -34,7 +39,7 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Header:        header,
-		Body:          x.body.open(),
+		Body:          body,
 		ContentLength: x.body.length,
 		Trailer:       x.body.trailer,
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/authenticator"
 	"burdocklane/budgeter"
 	"burdocklane/classifier"
 	"burdocklane/descriptor"
@@ -90,7 +91,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
-	p.current.Store(&Snapshot{index: classifier.NewIndex(descriptor.Deployment{})})
+	p.current.Store(&Snapshot{index: classifier.NewIndex(descriptor.Deployment{}), authenticator: authenticator.NewIndex(nil)})
 	return p
 }
 
@@ -122,6 +123,7 @@
 	next := *old
 	next.deployment = d
 	next.index = classifier.NewIndex(d)
+	next.authenticator = authenticator.NewIndex(d.Tenants())
 	next.tenantsByHash = tenantsByHash(d)
 	next.activeSince = time.Now()
 	next.source = source
--- a/publisher/snapshot.go
+++ b/publisher/snapshot.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"burdocklane/authenticator"
 	"burdocklane/budgeter"
 	"burdocklane/classifier"
 	"burdocklane/descriptor"
@@ -29,6 +30,7 @@
 	deployment    descriptor.Deployment
 	list          registrar.List
 	index         *classifier.Index
+	authenticator *authenticator.Index
 	serviceStates map[descriptor.ServiceName]*ServiceState
 	tenantsByHash map[uint32]*descriptor.Tenant
 	activeSince   time.Time
@@ -44,6 +46,9 @@
 // Index returns the index that maps a request to its class.
 func (s *Snapshot) Index() *classifier.Index { return s.index }
 
+// Authenticator returns the index that finds the tenant of an API key.
+func (s *Snapshot) Authenticator() *authenticator.Index { return s.authenticator }
+
 // ServiceState returns the state of the service, or nil.
 func (s *Snapshot) ServiceState(name descriptor.ServiceName) *ServiceState {
 	return s.serviceStates[name]
--- a/recorder/decision.go
+++ b/recorder/decision.go
@@ -29,6 +29,8 @@
 	status     int
 	target     time.Duration
 	err        error
+	revision   descriptor.Revision // Or 0 if no WithConfiguration was given.
+	activeFor  time.Duration
 }
 
 // DecisionOption sets one property of a Decision.
@@ -64,6 +66,12 @@
 // WithError sets the error of the attempt, or nil.
 func WithError(err error) DecisionOption { return func(d *Decision) { d.err = err } }
 
+// WithConfiguration sets the revision of the configuration that the decision was based on,
+// and for how long it has been active.
+func WithConfiguration(r descriptor.Revision, activeFor time.Duration) DecisionOption {
+	return func(d *Decision) { d.revision, d.activeFor = r, activeFor }
+}
+
 // NewDecision returns a decision for the call with the given request ID.
 func NewDecision(id string, at time.Time, choice, reason string, opts ...DecisionOption) Decision {
 	d := Decision{id: id, at: at, choice: choice, reason: reason}
@@ -97,6 +105,9 @@
 	if d.err != nil {
 		e.Str("error", d.err.Error())
 	}
+	if d.revision != 0 {
+		e.Int64("revision", int64(d.revision)).Int64("active-ms", d.activeFor.Milliseconds())
+	}
 	if d.target > 0 {
 		e.Int64("target-ms", d.target.Milliseconds())
 	}
