Refuse configurations that leave open which tenant holds a key

Values that make no sense but hide nothing (empty keys, rates and bursts out of range) are corrected and logged, 20 a configuration.

--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -43,7 +43,7 @@
 	switch {
 	case err == nil:
 		p.relay.PublishConfiguration(value)
-		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).
+		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Int("tenants", len(d.Tenants())).
 			Dur("applied-in", time.Since(delivered)).Dur("behind", behind).Msg("configuration is in force")
 	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
 	case errors.As(err, &otherContent):
@@ -70,7 +70,7 @@
 // returns its version.
 func (p *Process) applyFetched(value []byte, source string) (descriptor.Revision, error) {
 	delivered := time.Now()
-	d, err := adapter.ParseConfiguration(value)
+	d, err := adapter.ParseConfiguration(value, adapter.LogCorrections(p.log, source))
 	if err != nil {
 		return 0, err
 	}
