--- a/listener/credential_test.go
+++ b/listener/credential_test.go
@@ -114,8 +114,9 @@
 			r := <-received
 			c.Assert(r.Header.Values("Authorization"), qt.HasLen, 0)
 			c.Assert(strings.Join(r.Header.Values("X-Tenant-Name"), ","), qt.Equals, test.tenant)
-			c.Assert(r.Trailer.Values("Authorization"), qt.HasLen, 0)
-			c.Assert(r.Trailer.Values("X-Tenant-Name"), qt.HasLen, 0)
+			_, announcesKey := r.Trailer["Authorization"]
+			_, announcesTenant := r.Trailer["X-Tenant-Name"]
+			c.Assert(announcesKey || announcesTenant, qt.IsFalse, qt.Commentf("%v", r.Trailer))
 			if strings.Contains(test.body, "X-Other") {
 				c.Assert(r.Trailer.Get("X-Other"), qt.Equals, "kept")
 			}
