Check workers as often as their targets need, now that each choice is verified

The chosen worker is checked again right before its call anyway. Change: the interval is 0.3 of the shortest target in place of 0.08, between 50 and 150 ms as before. Services with targets up to 165 ms keep theirs. The rows of the test name other targets, as the old ones are at the new bound.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -29,8 +29,9 @@
 	// milliseconds.
 	maxRefreshInterval = 3 * refreshInterval
 	// refreshTargetShare is the interval as a share of the shortest target of the
-	// worker's service: what counts is how much of the target a wrong choice costs.
-	refreshTargetShare = 0.08
+	// worker's service: what counts is how much of the target a wrong choice costs. The
+	// worker that is chosen is checked once more before the call is sent.
+	refreshTargetShare = 0.3
 	// tickInterval is how often updates are sent and due checks are started.
 	tickInterval = refreshInterval / 2
 	// recheckMargin is how long before the end of its refresh interval a worker is due
--- a/gossiper/target_test.go
+++ b/gossiper/target_test.go
@@ -57,19 +57,19 @@
 		class := descriptor.NewClass("c", descriptor.WithTarget(descriptor.NewTarget(target, 0.9)))
 		return descriptor.NewRoute("", class, parts...)
 	}
-	class := descriptor.NewClass("c", descriptor.WithTarget(descriptor.NewTarget(1200*time.Millisecond, 0.9)))
+	class := descriptor.NewClass("c", descriptor.WithTarget(descriptor.NewTarget(320*time.Millisecond, 0.9)))
 	tests := []struct {
 		name    string
 		classes []descriptor.Class
 		routes  []descriptor.Route
 		want    time.Duration
 	}{
-		{"a route with a short target", nil, []descriptor.Route{route(200*time.Millisecond, "s")}, 50 * time.Millisecond},
-		{"a route with a long target", nil, []descriptor.Route{route(1500*time.Millisecond, "s")}, 120 * time.Millisecond},
+		{"a route with a short target", nil, []descriptor.Route{route(150*time.Millisecond, "s")}, 50 * time.Millisecond},
+		{"a route with a long target", nil, []descriptor.Route{route(400*time.Millisecond, "s")}, 120 * time.Millisecond},
 		{"a very long target", nil, []descriptor.Route{route(time.Minute, "s")}, 150 * time.Millisecond},
-		{"the shortest decides", nil, []descriptor.Route{route(time.Minute, "s"), route(time.Second, "t", "s")}, 80 * time.Millisecond},
+		{"the shortest decides", nil, []descriptor.Route{route(time.Minute, "s"), route(300*time.Millisecond, "t", "s")}, 90 * time.Millisecond},
 		{"a class of the service", []descriptor.Class{class}, []descriptor.Route{route(time.Minute, "s")}, 96 * time.Millisecond},
-		{"a short target of another service", nil, []descriptor.Route{route(200*time.Millisecond, "t"), route(time.Second, "s")}, 80 * time.Millisecond},
+		{"a short target of another service", nil, []descriptor.Route{route(200*time.Millisecond, "t"), route(300*time.Millisecond, "s")}, 90 * time.Millisecond},
 		{"no class", nil, nil, 50 * time.Millisecond},
 	}
 	for _, test := range tests {
