Filter the workers of every call by its regions and the evacuated zones

Cause: calls of classes and tenants with allowed regions, and calls while the operator evacuates a zone, went to any worker. Change: limiter.Constraint has the one function that excludes a worker. The candidates of each decision, assignments of other instances, loans, and the last look before a send ask it; neither readmission nor last resort reopens an excluded candidate. A call without any worker left is refused at once, for no-allowed-region or no-allowed-worker.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,7 +78,7 @@
 	serviceState := snapshot.ServiceState(call.Service().Name())
 	serviceState.Budget().Deposit()
 	d.inFlight.Add(1)
-	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable, regions: call.Regions()}
+	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable, constraint: limiter.NewConstraint(call.Regions())}
 	answered := false
 	defer func() { // Also after a panic.
 		if !answered {
@@ -101,7 +101,7 @@
 	history         retrier.History
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
-	regions         descriptor.Regions   // Where the call may be processed.
+	constraint      limiter.Constraint
 	admitted        bool                 // A slot was requested before.
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
@@ -158,7 +158,7 @@
 	c.admitted = true
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
 		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
-		limiter.WithRegions(c.regions), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
+		limiter.WithConstraint(c.constraint), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -130,7 +130,8 @@
 	if !ok {
 		return false
 	}
-	if c.serviceState.Pool().NeedsConfirmation(granted.Worker()) || !c.serviceState.Budget().Withdraw() {
+	_, closed := c.isClosed(granted)
+	if closed || c.serviceState.Pool().NeedsConfirmation(granted.Worker()) || !c.serviceState.Budget().Withdraw() {
 		granted.Release()
 		return false
 	}
--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -33,12 +33,25 @@
 // slot was granted counts.
 func (c *activeCall) verdict(granted limiter.Granted) verifier.Verdict {
 	verdict := c.check(granted)
-	if _, rejected := verdict.(verifier.Rejected); !rejected && c.serviceState.Pool().IsClosed(granted.Worker()) {
-		return verifier.NewClosed("leaving")
+	if _, rejected := verdict.(verifier.Rejected); rejected {
+		return verdict
+	}
+	if reason, closed := c.isClosed(granted); closed {
+		return verifier.NewClosed(reason)
 	}
 	return verdict
 }
 
+// isClosed reports whether the granted worker must not get the call any more, and why. It is
+// the last look before the call is sent.
+func (c *activeCall) isClosed(granted limiter.Granted) (reason string, closed bool) {
+	pool := c.serviceState.Pool()
+	if e := pool.Exclude(granted.Worker(), c.constraint); e != limiter.NotExcluded {
+		return string(e), true
+	}
+	return "leaving", pool.IsClosed(granted.Worker())
+}
+
 // check runs the health check of the worker that is due, if any.
 func (c *activeCall) check(granted limiter.Granted) verifier.Verdict {
 	worker, path := granted.Worker(), c.call.Service().HealthPath()
--- a/dispatcher/verify_test.go
+++ b/dispatcher/verify_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -114,14 +115,16 @@
 	}
 }
 
-// Guards against a call to a worker whose leaving has become known while it was checked.
+// Guards against a call to a worker whose leaving, or the evacuation of its zone, has become
+// known while it was checked.
 func TestCallIsNotSentToAWorkerThatLeavesMeanwhile(t *testing.T) {
 	tests := []struct {
-		name   string
-		leaves bool // The worker that is checked first.
+		name string
+		next func(members []registrar.Worker, id string) []registrar.Worker // The list after the first check, of that worker.
 	}{
-		{"it stays", false},
-		{"it leaves", true},
+		{"it stays", nil},
+		{"it leaves", withLeaving},
+		{"its zone is evacuated", withEvacuated},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -131,8 +134,8 @@
 			var checked []string
 			for _, id := range []string{"a", "b"} {
 				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-					if checked = append(checked, id); len(checked) == 1 && test.leaves {
-						p.PublishList(registrar.NewList(2, withLeaving(members, id), nil))
+					if checked = append(checked, id); len(checked) == 1 && test.next != nil {
+						p.PublishList(registrar.NewList(2, test.next(members, id), nil))
 					}
 					w.Header().Set("ID", id)
 					w.Header().Set("Load", "0,0,6,100")
@@ -152,7 +155,7 @@
 			answered, ok := result.(dispatcher.Answered)
 			c.Assert(ok, qt.IsTrue, qt.Commentf("%T", result))
 			answered.Finish(true)
-			c.Assert(got != checked[0], qt.Equals, test.leaves)
+			c.Assert(got != checked[0], qt.Equals, test.next != nil)
 		})
 	}
 }
@@ -165,3 +168,14 @@
 	}
 	return listed
 }
+
+// withEvacuated returns the workers, one of which is in an evacuated zone.
+func withEvacuated(members []registrar.Worker, id string) []registrar.Worker {
+	listed := slices.Clone(members)
+	for i, m := range listed {
+		if string(m.ID()) == id {
+			listed[i] = m.AsEvacuated()
+		}
+	}
+	return listed
+}
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -108,7 +108,9 @@
 	}
 	switch r := p.assigner(ctx, p, req).(type) {
 	case Assigned:
-		return p.grantAssigned(r, req, arrival)
+		if granted, ok := p.grantAssigned(r, req, arrival); ok {
+			return granted
+		}
 	case HeldSlot:
 		r.granted.waited = time.Since(arrival)
 		return r.granted
@@ -121,7 +123,15 @@
 	return p.acquireByReportedLoad(ctx, req, arrival)
 }
 
-func (p *Pool) grantAssigned(r Assigned, req Request, arrival time.Time) Granted {
+// grantAssigned grants the slot that a scheduler has assigned. It withdraws the assignment
+// and returns false if the worker must not get the call: the scheduler may have an older
+// list.
+func (p *Pool) grantAssigned(r Assigned, req Request, arrival time.Time) (Granted, bool) {
+	if !req.constraint.permits(r.worker) {
+		withdrawnTotal.Inc()
+		r.report(OutcomeNone)
+		return Granted{}, false
+	}
 	now := p.Now()
 	summary := CandidateSummary{chosen: p.workerLoad(r.worker, now)}
 	summary.expectedLatency = summary.chosen.ExpectedLatency(p.BaseLatency(req.target))
@@ -130,7 +140,7 @@
 	return Granted{
 		pool: p, worker: r.worker, target: req.target, waited: time.Since(arrival), summary: summary,
 		assigned: &peerAssignment{report: r.report},
-	}
+	}, true
 }
 
 // TryGrant grants a slot without queueing. The decision Wait means that the call
--- a/limiter/candidate_summary.go
+++ b/limiter/candidate_summary.go
@@ -14,6 +14,7 @@
 	free            int32
 	queued          int32
 	inFlight        int32
+	excluded        int32
 	chosen          picker.Load // Known load of the chosen worker, if it reports any.
 	expectedLatency time.Duration
 }
@@ -48,5 +49,8 @@
 	for _, c := range counts {
 		b = strconv.AppendInt(append(b, c.name...), int64(c.count), 10)
 	}
+	if s.excluded > 0 {
+		b = strconv.AppendInt(append(b, " excluded="...), int64(s.excluded), 10)
+	}
 	return b
 }
--- a/limiter/candidates.go
+++ b/limiter/candidates.go
@@ -31,17 +31,23 @@
 	}
 	maxCalls := p.fairLimit()
 	*summary = CandidateSummary{total: int32(len(workers)), queued: p.waiting.Load()}
-	ejected := 0
+	ejected, excluded := 0, 0
 	for _, w := range workers {
 		c := p.candidate(w, means[w.Distance()], now, req).Capped(maxCalls)
+		if !req.constraint.permits(w) {
+			c = c.AsExcluded()
+		}
 		candidates = append(candidates, c)
 		summary.add(c)
-		if c.State() == picker.Ejected {
+		switch c.State() {
+		case picker.Ejected:
 			ejected++
+		case picker.Excluded:
+			excluded++
 		}
 	}
 	if ejected > 0 {
-		readmit(candidates, ejected)
+		readmit(candidates, ejected, len(candidates)-excluded)
 	}
 	return candidates
 }
@@ -54,12 +60,12 @@
 	}
 }
 
-// readmit uses ejected workers again if they exceed the allowed share of all
+// readmit uses ejected workers again if they exceed the allowed share of the permitted
 // workers, or of those in the local region.
-func readmit(candidates []picker.Candidate, ejected int) {
+func readmit(candidates []picker.Candidate, ejected, permitted int) {
 	local, localEjected := 0, 0
 	for _, c := range candidates {
-		if c.Remote() {
+		if c.Remote() || c.State() == picker.Excluded {
 			continue
 		}
 		local++
@@ -67,7 +73,7 @@
 			localEjected++
 		}
 	}
-	all := ejected*maxEjectedDivisor > len(candidates)
+	all := ejected*maxEjectedDivisor > permitted
 	for i, c := range candidates {
 		if all || (!c.Remote() && localEjected*maxEjectedDivisor > local) {
 			candidates[i] = c.Readmitted()
@@ -91,6 +97,9 @@
 
 func (s *CandidateSummary) add(c picker.Candidate) {
 	s.inFlight += c.InFlight()
+	if c.State() == picker.Excluded {
+		s.excluded++
+	}
 	if c.State() != picker.Usable && c.State() != picker.Suspect {
 		return
 	}
--- a/limiter/loan.go
+++ b/limiter/loan.go
@@ -63,8 +63,8 @@
 }
 
 // UseLoan uses a borrowed slot for the most urgent of the instance's own queued
-// calls. The loan is finished at once if no call is queued or the worker is
-// leaving.
+// calls. The loan is finished at once if no call is queued, or the worker is
+// leaving or must not get that call.
 func (p *Pool) UseLoan(loan *Loan) {
 	if loan.worker.LeavingFor(p.Now()) > 0 {
 		loan.finish()
@@ -72,6 +72,9 @@
 	}
 	p.mutex.Lock()
 	head := p.ownHead()
+	if head != nil && !head.req.constraint.permits(loan.worker) {
+		head = nil
+	}
 	if head != nil {
 		p.deliver(head, Granted{pool: p, worker: loan.worker, loan: loan})
 	}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -55,6 +55,7 @@
 	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
 	workersWithShare int // Workers at which the instance has a slot.
+	hasEvacuated     bool
 }
 
 // Pool admits calls to the workers of one service.
@@ -185,6 +186,7 @@
 		w := p.reuseOrAdd(known, member, len(old.workers) > 0)
 		w.SetShare(shares[i])
 		next.slots += shares[i]
+		next.hasEvacuated = next.hasEvacuated || member.IsEvacuated()
 		next.workersWithShare += min(shares[i], 1)
 		next.workers = append(next.workers, w)
 		if w.Distance() < picker.RemoteDistance {
@@ -245,6 +247,9 @@
 	arrival := time.Now()
 	p.requestProbes()
 	p.remoteBudget.Deposit()
+	if reason, ok := p.hasNoWorkerLeft(&req); ok {
+		return Refused{reason: reason}
+	}
 	var summary CandidateSummary
 	if p.usesReportedLoad() {
 		return p.acquireAssigned(ctx, req, arrival)
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -191,6 +191,9 @@
 	now := p.Now()
 	return slices.ContainsFunc(p.workerSet.Load().local, func(w *tracker.Worker) bool {
 		state := w.State(p.meanLatencyAt(w.Distance()), now)
+		if !(Constraint{}).permits(w) {
+			return false
+		}
 		return state == picker.Usable || state == picker.Suspect
 	})
 }
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -42,7 +42,7 @@
 	noWait         bool
 	hedge          bool
 	lastResort     bool // Workers that are about to stop and still serve may be used too.
-	regions        descriptor.Regions
+	constraint     Constraint
 	priority       int
 	tenant         *descriptor.Tenant // Or nil.
 	charged        bool
@@ -60,9 +60,9 @@
 	return func(r *Request) { r.avoid = workers }
 }
 
-// WithRegions limits the regions whose workers may get the call.
-func WithRegions(regions descriptor.Regions) RequestOption {
-	return func(r *Request) { r.regions = regions }
+// WithConstraint limits the workers that may get the call.
+func WithConstraint(c Constraint) RequestOption {
+	return func(r *Request) { r.constraint = c }
 }
 
 // WithPriority sets the priority of the call; 0 is the highest.
@@ -137,8 +137,17 @@
 // for capacity.
 func (r Request) NoWait() bool { return r.noWait }
 
+// Constraint returns the limit of the workers that may get the call.
+func (r Request) Constraint() Constraint { return r.constraint }
+
 // Regions returns the regions whose workers may get the call.
-func (r Request) Regions() descriptor.Regions { return r.regions }
+func (r Request) Regions() descriptor.Regions { return r.constraint.regions }
+
+// ConfinedTo returns r as a request for a worker of one region.
+func (r Request) ConfinedTo(region string) Request {
+	r.constraint.regions = r.constraint.regions.Intersect(descriptor.NewRegions(region))
+	return r
+}
 
 // Priority returns the priority of the call; 0 is the highest.
 func (r Request) Priority() int { return r.priority }
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -18,7 +18,9 @@
 	}
 	switch r := p.assigner(ctx, p, req).(type) {
 	case Assigned:
-		return p.grantAssigned(r, req, time.Now()), true
+		if granted, ok := p.grantAssigned(r, req, time.Now()); ok {
+			return granted, true
+		}
 	case HeldSlot:
 		return r.granted, true
 	case Rejected, OverLimit:
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -44,11 +44,13 @@
 	// LastResort candidates are about to stop, and get calls only if no other
 	// candidate is usable.
 	LastResort
+	// Excluded candidates must not get the call, whatever the state of the others.
+	Excluded
 )
 
 // String returns the name of s in logs.
 func (s State) String() string {
-	return [...]string{"usable", "suspect", "ejected", "paused", "leaving", "last-resort"}[s]
+	return [...]string{"usable", "suspect", "ejected", "paused", "leaving", "last-resort", "excluded"}[s]
 }
 
 // Candidate is what the instance knows of one worker.
@@ -117,6 +119,12 @@
 // Remote reports whether the worker is in another region.
 func (c Candidate) Remote() bool { return c.distance >= RemoteDistance }
 
+// AsExcluded returns c as a candidate that must not get the call.
+func (c Candidate) AsExcluded() Candidate {
+	c.state = Excluded
+	return c
+}
+
 // Readmitted returns c as usable if it was ejected.
 func (c Candidate) Readmitted() Candidate {
 	if c.state == Ejected {
--- a/registrar/member.go
+++ b/registrar/member.go
@@ -53,6 +53,8 @@
 	started  int64
 	coldFor  time.Duration
 	sequence int64
+	// evacuated is set while the operator has evacuated the worker's availability zone.
+	evacuated bool
 }
 
 // NewWorker returns a worker. The address is host:port. Slots is the number of calls
@@ -95,6 +97,15 @@
 // ColdFor returns the rest of the warm-up time when the worker was listed.
 func (w Worker) ColdFor() time.Duration { return w.coldFor }
 
+// AsEvacuated returns a copy of w in an availability zone that the operator has evacuated.
+func (w Worker) AsEvacuated() Worker {
+	w.evacuated = true
+	return w
+}
+
+// IsEvacuated reports whether the operator has evacuated the worker's availability zone.
+func (w Worker) IsEvacuated() bool { return w.evacuated }
+
 // ID returns the ID of the worker.
 func (w Worker) ID() WorkerID { return w.id }
 
@@ -170,6 +181,7 @@
 	version   int64
 	workers   []Worker
 	instances []Instance
+	evacuated []string // Availability zones, in order.
 }
 
 // NewList returns a list; a larger version replaces a smaller one.
@@ -197,3 +209,23 @@
 	l.instances = slices.Clone(instances)
 	return l
 }
+
+// WithEvacuatedZones returns a copy of l in which the operator has evacuated the
+// availability zones: their workers get no calls.
+func (l List) WithEvacuatedZones(zones ...string) List {
+	if len(zones) == 0 {
+		return l
+	}
+	l.evacuated = slices.Sorted(slices.Values(zones))
+	l.workers = slices.Clone(l.workers)
+	for i, w := range l.workers {
+		if slices.Contains(zones, w.Locality().Zone()) {
+			l.workers[i] = w.AsEvacuated()
+		}
+	}
+	return l
+}
+
+// EvacuatedZones returns the availability zones that the operator has evacuated, in order.
+// The caller must not change the slice.
+func (l List) EvacuatedZones() []string { return l.evacuated }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -37,25 +37,32 @@
 
 // pendingRequest is an assignment request that waits for its reply.
 type pendingRequest struct {
-	owner     *Scheduler
-	pool      *limiter.Pool
-	scheduler registrar.Instance
-	address   *net.UDPAddr
-	callID    callID
-	replies   chan assignmentReply // At most two: that the call is queued, then the result.
+	owner      *Scheduler
+	pool       *limiter.Pool
+	constraint limiter.Constraint
+	scheduler  registrar.Instance
+	address    *net.UDPAddr
+	callID     callID
+	replies    chan assignmentReply // At most two: that the call is queued, then the result.
+}
+
+// timeouts bound the wait for a scheduler.
+type timeouts struct {
+	reply  time.Duration // For the first reply.
+	queued time.Duration // For the further wait after a reply that the call is queued.
 }
 
 // await waits for the scheduler's reply. On a timeout or cancellation it withdraws
 // the request, because an assignment may still be on its way.
-func (r *pendingRequest) await(ctx context.Context, timeout time.Duration) limiter.Assignment {
-	timer := time.NewTimer(timeout)
+func (r *pendingRequest) await(ctx context.Context, t timeouts) limiter.Assignment {
+	timer := time.NewTimer(t.reply)
 	defer timer.Stop()
 	for {
 		select {
 		case reply := <-r.replies:
 			switch reply.Status {
 			case statusQueued:
-				timer.Reset(queuedTimeout)
+				timer.Reset(t.queued)
 				continue
 			case statusAssigned:
 				return r.resolve(reply)
@@ -88,13 +95,13 @@
 }
 
 // resolve looks up the worker that the scheduler assigned. It withdraws the
-// request if the worker is unknown here or about to stop.
+// request if the worker is unknown here, about to stop or must not get the call.
 func (r *pendingRequest) resolve(reply assignmentReply) limiter.Assignment {
 	var worker *tracker.Worker
 	if service := r.owner.current().services[registrar.Hash(r.pool.Service())]; service != nil {
 		worker = service.workersByHash[reply.Worker]
 	}
-	if worker == nil || r.pool.IsClosed(worker) {
+	if worker == nil || r.pool.IsClosed(worker) || r.pool.Exclude(worker, r.constraint) != limiter.NotExcluded {
 		r.withdraw()
 		return limiter.Undecided{}
 	}
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -11,9 +11,22 @@
 	"burdocklane/registrar"
 )
 
+var (
+	localTimeouts  = timeouts{reply: replyTimeout, queued: queuedTimeout}
+	remoteTimeouts = timeouts{reply: remoteTimeout, queued: remoteQueuedTimeout}
+)
+
 // Assign returns the worker for a call, which the service's scheduler assigns.
 // The pool calls it for each call that needs a slot.
 func (s *Scheduler) Assign(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	if request.Regions().IsRestricted() {
+		return s.assignConfined(ctx, p, request)
+	}
+	return s.assignInRegion(ctx, p, request)
+}
+
+// assignInRegion returns the worker that the scheduler of this instance's region assigns.
+func (s *Scheduler) assignInRegion(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
 	scheduler := schedulerOf(s.live(), p, s.self)
 	if scheduler.ID() == s.self.ID() {
 		return s.assignLocally(ctx, p, request)
@@ -21,7 +34,7 @@
 	if s.inBackoff(scheduler) {
 		return limiter.Undecided{}
 	}
-	return s.sendRequest(ctx, p, request, scheduler, replyTimeout)
+	return s.sendRequest(ctx, p, request, scheduler, localTimeouts)
 }
 
 // assignLocally assigns a worker to a call of this instance, which is itself the
@@ -85,12 +98,15 @@
 // region has no usable worker, it asks the others one after another: the call has no
 // other way to be served.
 func (s *Scheduler) requestRemote(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
-	for _, candidates := range s.current().coordinators { // Map order: a random region first.
+	for region, candidates := range s.current().coordinators { // Map order: a random region first.
+		if !request.Regions().Allows(region) {
+			continue
+		}
 		candidates = slices.DeleteFunc(slices.Clone(candidates), s.inBackoff)
 		if len(candidates) == 0 {
 			continue
 		}
-		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeout)
+		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeouts)
 		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() {
 			return assignment
 		}
@@ -99,20 +115,20 @@
 }
 
 // sendRequest sends a request to a scheduler and waits for its reply.
-func (s *Scheduler) sendRequest(ctx context.Context, p *limiter.Pool, request limiter.Request, scheduler registrar.Instance, timeout time.Duration) limiter.Assignment {
+func (s *Scheduler) sendRequest(ctx context.Context, p *limiter.Pool, request limiter.Request, scheduler registrar.Instance, t timeouts) limiter.Assignment {
 	address, err := net.ResolveUDPAddr("udp4", scheduler.SchedulerAddress())
 	if err != nil {
 		return limiter.Undecided{}
 	}
 	r := &pendingRequest{
-		owner: s, pool: p, scheduler: scheduler, address: address,
+		owner: s, pool: p, constraint: request.Constraint(), scheduler: scheduler, address: address,
 		callID: callID{Requester: s.selfHash, Number: s.lastNumber.Add(1)}, replies: make(chan assignmentReply, 2),
 	}
 	s.pending.Store(r.callID.Number, r)
 	defer s.pending.Delete(r.callID.Number)
 	requestsTotal.Inc()
 	s.send(newAssignmentRequest(r.callID, p, request), address)
-	return r.await(ctx, timeout)
+	return r.await(ctx, t)
 }
 
 // handleReply delivers a reply to the request that waits for it. If none does, the
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,8 +30,9 @@
 	replyTimeout = 20 * time.Millisecond
 	// queuedTimeout bounds the further wait after a reply that the call is queued.
 	queuedTimeout = 60 * time.Millisecond
-	// remoteTimeout is replyTimeout for a scheduler of another region.
-	remoteTimeout = 40 * time.Millisecond
+	// remoteTimeout and remoteQueuedTimeout are those of a scheduler of another region.
+	remoteTimeout       = 40 * time.Millisecond
+	remoteQueuedTimeout = queuedTimeout + remoteTimeout - replyTimeout
 	// timeoutBackoff is how long no requests go to a scheduler after a timeout.
 	timeoutBackoff = 300 * time.Millisecond
 	// expiryGrace is how long after a call's deadline a slot stays taken at most, if
@@ -167,7 +168,7 @@
 		s.send(assignmentReply{Kind: kindReply, Status: statusUnknownService, Call: m.Call}, from)
 		return
 	}
-	request := service.toPool(m, v.snapshot).OnBehalfOfPeer()
+	request := service.toPool(m, v).OnBehalfOfPeer()
 	// Distances count from the requester's zone if it is in this region. A call of
 	// another region may go to any worker here.
 	if locality, ok := v.localities[m.Call.Requester]; ok && locality.Region() == s.self.Locality().Region() {
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -12,6 +12,7 @@
 // view holds the lookup tables that are built from a snapshot. It is immutable.
 type view struct {
 	snapshot     *publisher.Snapshot
+	region       string                          // Of this instance.
 	services     map[uint32]*service             // By the hash of the service's name.
 	localities   map[uint32]registrar.Locality   // By the hash of the instance's ID.
 	coordinators map[string][]registrar.Instance // Of the other regions, by region.
@@ -34,7 +35,7 @@
 
 func newView(s *publisher.Snapshot, own string) *view {
 	v := &view{
-		snapshot: s, services: make(map[uint32]*service, len(s.ServiceStates())),
+		snapshot: s, region: own, services: make(map[uint32]*service, len(s.ServiceStates())),
 		localities:   make(map[uint32]registrar.Locality, len(s.List().Instances())),
 		coordinators: map[string][]registrar.Instance{},
 	}
@@ -57,7 +58,7 @@
 }
 
 // toPool converts a received request to one for the pool.
-func (s *service) toPool(m assignmentRequest, snapshot *publisher.Snapshot) limiter.Request {
+func (s *service) toPool(m assignmentRequest, v *view) limiter.Request {
 	now := time.Now()
 	var avoid []registrar.WorkerID
 	for _, hash := range m.Avoid {
@@ -67,7 +68,10 @@
 	}
 	request := limiter.NewRequest(time.Duration(m.TargetMs)*time.Millisecond, now.Add(time.Duration(m.DeadlineLeftMs)*time.Millisecond),
 		limiter.WithAvoid(avoid...), limiter.WithPriority(int(m.Priority)),
-		limiter.WithTenant(snapshot.TenantByHash(m.Tenant), m.Flags.has(flagCharged))).WithTargetDeadline(now.Add(time.Duration(m.TargetLeftMs) * time.Millisecond))
+		limiter.WithTenant(v.snapshot.TenantByHash(m.Tenant), m.Flags.has(flagCharged))).WithTargetDeadline(now.Add(time.Duration(m.TargetLeftMs) * time.Millisecond))
+	if m.Flags.has(flagConfined) {
+		request = request.ConfinedTo(v.region)
+	}
 	switch {
 	case m.Flags.has(flagSecond):
 		return request.AsHedge()
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -98,6 +98,12 @@
 // Address returns the worker's host:port.
 func (w *Worker) Address() string { return w.member.Load().Address() }
 
+// Locality returns the worker's region and availability zone.
+func (w *Worker) Locality() registrar.Locality { return w.member.Load().Locality() }
+
+// IsEvacuated reports whether the operator has evacuated the worker's availability zone.
+func (w *Worker) IsEvacuated() bool { return w.member.Load().IsEvacuated() }
+
 // ID returns the identity of the worker.
 func (w *Worker) ID() registrar.WorkerID { return w.member.Load().ID() }
 
