--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -91,6 +91,24 @@
 			[]recorder.Decision{decision("x", 5, "refuse", "instance-stops", target)},
 			"rejected, not run: the instance was stopping",
 		},
+		{
+			"no region in common",
+			[]recorder.Decision{decision("x", 5, "refuse", "no-allowed-region", target)},
+			"rejected, not run: the class and the tenant have no region in common",
+		},
+		{
+			"no worker that it may reach",
+			[]recorder.Decision{decision("x", 5, "refuse", "no-allowed-worker", target)},
+			"rejected, not run: no worker of s is left in the regions",
+		},
+		{
+			"an evacuated zone",
+			[]recorder.Decision{
+				decision("x", 0, "pass-over", "evacuated", recorder.WithAttempt(1, "w0"), target), send,
+				decision("x", 300, "pass", "answered", recorder.WithAttempt(1, "w1"), target, took(300)),
+			},
+			"; worker w0 was passed over (evacuated)",
+		},
 		{"interrupted response", []recorder.Decision{send, decision("x", 9, "broken", "transfer-broken")}, "the response was interrupted"},
 		{"no final line", []recorder.Decision{send}, "no log line records how the call ended"},
 	}
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -126,6 +126,10 @@
 		return fmt.Sprintf("no worker of %s had capacity to answer in time, after waiting %.1f ms", f.Service, f.WaitedMs)
 	case "no-worker":
 		return fmt.Sprintf("no usable worker of %s (%s)", f.Service, f.Candidates)
+	case "no-allowed-region":
+		return fmt.Sprintf("the class and the tenant have no region in common in which a call of %s may be processed", f.Service)
+	case "no-allowed-worker":
+		return fmt.Sprintf("no worker of %s is left in the regions in which the call may be processed, outside evacuated zones", f.Service)
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
 	}
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -128,7 +128,6 @@
 // list.
 func (p *Pool) grantAssigned(r Assigned, req Request, arrival time.Time) (Granted, bool) {
 	if !req.constraint.permits(r.worker) {
-		withdrawnTotal.Inc()
 		r.report(OutcomeNone)
 		return Granted{}, false
 	}
--- a/limiter/constraint.go
+++ b/limiter/constraint.go
@@ -3,13 +3,8 @@
 import (
 	"burdocklane/descriptor"
 	"burdocklane/tracker"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
-// withdrawnTotal counts assignments of workers that must not get the call.
-var withdrawnTotal = metrics.NewCounter("burdocklane_assignments_withdrawn_total")
-
 // Constraint limits the workers that may get a call, whichever way it takes to them. The
 // zero value excludes only the workers of evacuated availability zones.
 type Constraint struct{ regions descriptor.Regions }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -102,6 +102,7 @@
 		worker = service.workersByHash[reply.Worker]
 	}
 	if worker == nil || r.pool.IsClosed(worker) || r.pool.Exclude(worker, r.constraint) != limiter.NotExcluded {
+		withdrawnTotal.Inc()
 		r.withdraw()
 		return limiter.Undecided{}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -47,10 +47,11 @@
 )
 
 var (
-	requestsTotal = metrics.NewCounter("burdocklane_rulings_asked_total")
-	timeoutsTotal = metrics.NewCounter("burdocklane_rulings_silent_total")
-	assignedTotal = metrics.NewCounter(`burdocklane_rulings_given_total{word="assigned"}`)
-	rejectedTotal = metrics.NewCounter(`burdocklane_rulings_given_total{word="denied"}`)
+	requestsTotal  = metrics.NewCounter("burdocklane_rulings_asked_total")
+	timeoutsTotal  = metrics.NewCounter("burdocklane_rulings_silent_total")
+	assignedTotal  = metrics.NewCounter(`burdocklane_rulings_given_total{word="assigned"}`)
+	withdrawnTotal = metrics.NewCounter("burdocklane_assignments_withdrawn_total")
+	rejectedTotal  = metrics.NewCounter(`burdocklane_rulings_given_total{word="denied"}`)
 )
 
 // Scheduler requests assignments from the schedulers of other instances, and
