--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -59,7 +59,8 @@
 // is returned or, for [Answered], until Finish is called.
 func (d *Dispatcher) InFlight() int64 { return d.inFlight.Load() }
 
-// Dispatch classifies a request and runs it as a call, with retries and hedging.
+// Dispatch classifies and authenticates a request and runs it as a call, with retries and
+// hedging. The configuration that is active at the beginning applies to the whole call.
 // replayable reports whether the front end can send the request body more than
 // once. If the result is [Answered], the caller must call its Finish.
 func (d *Dispatcher) Dispatch(ctx context.Context, request classifier.Request, replayable bool, roundTrip RoundTrip) Result {
@@ -71,14 +72,18 @@
 	if !ok {
 		return Unmatched{}
 	}
-	call, inTime := d.stop.Load().limit(matched.Call())
+	authenticated, ok := d.authenticate(snapshot, request, matched.Call())
+	if !ok {
+		return Unauthorized{}
+	}
+	call, inTime := d.stop.Load().limit(authenticated)
 	if !inTime {
 		return d.rejectLate(&call)
 	}
 	serviceState := snapshot.ServiceState(call.Service().Name())
 	serviceState.Budget().Deposit()
 	d.inFlight.Add(1)
-	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable, regions: call.Regions()}
+	active := &activeCall{dispatcher: d, ctx: ctx, serviceState: serviceState, call: &call, roundTrip: roundTrip, replayable: replayable, constraint: limiter.NewConstraint(call.Regions())}
 	answered := false
 	defer func() { // Also after a panic.
 		if !answered {
@@ -101,7 +106,7 @@
 	history         retrier.History
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
-	regions         descriptor.Regions   // Where the call may be processed.
+	constraint      limiter.Constraint
 	admitted        bool                 // A slot was requested before.
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
@@ -158,7 +163,7 @@
 	c.admitted = true
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
 		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
-		limiter.WithRegions(c.regions), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
+		limiter.WithConstraint(c.constraint), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
