--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -58,11 +58,11 @@
 
 // grant gives the holder tokens up to what it wants. Where there are too few for all, each
 // holder gets a part by what it wants, and none gets a second token while another one that
-// wants tokens has none.
-func (b *bucket) grant(holder uint32, maxHeld, maxPart float64) int {
+// wants tokens has none. It also returns whether the tenant has used up its limit.
+func (b *bucket) grant(holder uint32, maxHeld, maxPart float64) (tokens int, exhausted bool) {
 	e := b.entries[holder]
 	if e.wanted == 0 {
-		return 0
+		return 0, false
 	}
 	part := float64(e.wanted) / float64(b.wanted())
 	limit := min(e.wanted, int(math.Ceil(maxHeld*part)), max(int(maxPart), 1))
@@ -71,13 +71,14 @@
 		room -= b.without()
 	}
 	available := min(int(b.level), int(math.Ceil(b.level*part)))
-	tokens := max(min(limit-e.held, room, available), 0)
+	tokens = max(min(limit-e.held, room, available), 0)
 	if e.held == 0 && tokens > 1 {
 		tokens = max(min(tokens, room-b.without()+1), 1)
 	}
 	e.held += tokens
 	b.level -= float64(tokens)
-	return tokens
+	// The holders have more than a few tokens only of a tenant within its limit.
+	return tokens, available < limit-e.held+tokens && float64(b.held()) < maxHeld/2
 }
 
 // without returns the number of holders that want tokens and have none.
--- a/granter/model_test.go
+++ b/granter/model_test.go
@@ -39,6 +39,7 @@
 	local     int
 	asked     int
 	refused   int
+	overLimit int // Of the refused ones.
 	double    bool // Deliver each reply twice to the tokens: a deliberate double grant.
 }
 
@@ -219,6 +220,7 @@
 		f.admitted = append(f.admitted, f.now)
 	case charger.OverLimit:
 		f.refused++
+		f.overLimit++
 	case charger.Short:
 		return v, true
 	}
--- a/granter/owner.go
+++ b/granter/owner.go
@@ -237,10 +237,10 @@
 	maxPart := parts.HeldByOne(o.authority.members)
 	capacity := o.capacity(now, parts, maxPart)
 	b.refill(o.minted, parts, capacity)
-	tokens := b.grant(holder, min(parts.Held(), capacity), maxPart)
+	tokens, exhausted := b.grant(holder, min(parts.Held(), capacity), maxPart)
 	// A new owner's buckets are empty, which says nothing of the calls before.
 	knows := o.confirmed && now-o.since >= TokenLife
-	return NewGrant(d.Tenant(), tokens, knows && b.level < 1)
+	return NewGrant(d.Tenant(), tokens, knows && exhausted)
 }
 
 // capacity returns the owner's part of the capacity. For a while, coordinators that don't
--- a/granter/service_test.go
+++ b/granter/service_test.go
@@ -59,7 +59,8 @@
 }
 
 // Pattern: a tenant sends several times its limit at every scheduler. Guards against a
-// limit that admits much less than it promises.
+// limit that admits much less than it promises, and against refusals that don't say that it
+// is used up: such a call waits and comes back soon.
 func TestTenantBeyondItsLimitGetsIt(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -81,6 +82,7 @@
 			c.Assert(f.run(span), qt.IsNil)
 			t.Logf("%d of %d admitted, limit %.0f", len(f.admitted), f.asked, test.limit.PerSecond()*span.Seconds())
 			c.Assert(float64(len(f.admitted)) > 0.95*test.limit.PerSecond()*span.Seconds(), qt.IsTrue)
+			c.Assert(float64(f.overLimit) > 0.9*float64(f.refused), qt.IsTrue, qt.Commentf("%d of %d refused as over the limit", f.overLimit, f.refused))
 		})
 	}
 }
