Start a new owner of the limits with more tokens, and vote earlier after a start

Change: what the schedulers need of the tolerance is bounded, the rest is what a new owner starts with; a first vote needs no wait if all candidates answer or one is confirmed; only schedulers hold a reserve.

--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -12,12 +12,19 @@
 // Parts of the tolerance. What is left covers instances whose lists of the fleet differ,
 // for a while, in more than the calculation assumes.
 const (
-	// reserveShare is held in advance by the schedulers, so that a call finds a token.
-	reserveShare = 0.7
+	// ownerShare is added to the tokens of the owner: reserve tokens to those that may be
+	// unused at once, and the rest to those that a new owner starts with.
+	ownerShare = 0.75
 	// localShare is admitted by instances that reach no scheduler.
 	localShare = 0.15
-	// initialShare is what a new owner of the limits may grant at once.
-	initialShare = 0.05
+)
+
+// The reserve is held in advance by the schedulers, so that a call finds a token.
+const (
+	// reserveTokens are one or two for each of a dozen schedulers.
+	reserveTokens = 15
+	// reserveTime is the time for whose calls the schedulers hold tokens.
+	reserveTime = 500 * time.Millisecond
 )
 
 // heldShare is the part of a limit's capacity that the schedulers may hold together.
@@ -77,13 +84,15 @@
 // token, and the capacity is that of the limit.
 func Divide(l descriptor.RateLimit, t Tolerance) Parts {
 	excess := t.excess(l)
+	needed := reserveTokens + max(l.PerSecond()*reserveTime.Seconds()-l.Burst(), 0)
+	reserve := min(needed, ownerShare*excess)
 	// A bucket that holds less than one token never admits a call.
-	capacity := max(l.Burst()+reserveShare*excess, 1)
+	capacity := max(l.Burst()+reserve, 1)
 	return Parts{
 		perSecond: l.PerSecond(),
 		capacity:  capacity,
 		held:      max(heldShare*capacity, 1),
-		initial:   initialShare * excess,
+		initial:   ownerShare*excess - reserve,
 		local:     int(math.Floor(localShare * excess)),
 	}
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -190,7 +190,7 @@
 
 // choose chooses an owner once the last vote has run out.
 func (e *Elector) choose(now time.Duration, candidates []uint32) {
-	if e.has || now < e.bound || now-e.searching < searchTime {
+	if e.has || now-e.searching < searchTime || now < e.bound && !e.mayVoteEarly(now, candidates) {
 		return
 	}
 	best, ok := e.best(now, candidates)
@@ -204,12 +204,26 @@
 	e.sentAt = now - interval
 }
 
+// mayVoteEarly reports whether a vote of an earlier process of this holder, which may still
+// count, can't make a second owner beside the one that is chosen now: that one is confirmed
+// already, or every candidate has answered that it is not.
+func (e *Elector) mayVoteEarly(now time.Duration, candidates []uint32) bool {
+	if e.number > 0 {
+		return false
+	}
+	isConfirmed := func(c uint32) bool { return e.isThere(now, c) && e.sightings[c].confirmed }
+	isMissing := func(c uint32) bool { return !e.isThere(now, c) }
+	return slices.ContainsFunc(candidates, isConfirmed) || !slices.ContainsFunc(candidates, isMissing)
+}
+
+func (e *Elector) isThere(now time.Duration, candidate uint32) bool {
+	s, seen := e.sightings[candidate]
+	return seen && now-s.at < sightingLife
+}
+
 // best returns the best candidate that has answered lately.
 func (e *Elector) best(now time.Duration, candidates []uint32) (id uint32, ok bool) {
-	isThere := func(c uint32) bool {
-		s, seen := e.sightings[c]
-		return seen && now-s.at < sightingLife
-	}
+	isThere := func(c uint32) bool { return e.isThere(now, c) }
 	at := slices.IndexFunc(candidates, func(c uint32) bool { return isThere(c) && e.sightings[c].confirmed })
 	if at < 0 {
 		at = slices.IndexFunc(candidates, isThere)
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -167,14 +167,12 @@
 	}
 }
 
-// isScheduler reports whether this instance schedules any service, or would without the
-// present scheduler, and so needs tokens for the next calls.
+// isScheduler reports whether this instance schedules any service, and so needs tokens for
+// the next calls.
 func (l *limits) isScheduler(t *limitTerms) bool {
 	live, self := l.scheduler.live(), l.scheduler.self
 	for _, state := range t.snapshot.ServiceStates() {
-		first := schedulerOf(live, state.Pool(), self)
-		second, ok := registrar.RendezvousOwner(live, string(state.Pool().Service()), first.ID())
-		if first.ID() == self.ID() || ok && second.ID() == self.ID() {
+		if schedulerOf(live, state.Pool(), self).ID() == self.ID() {
 			return true
 		}
 	}
