--- a/elector/elector.go
+++ b/elector/elector.go
@@ -204,16 +204,22 @@
 	e.sentAt = now - interval
 }
 
-// mayVoteEarly reports whether a vote of an earlier process of this holder, which may still
-// count, can't make a second owner beside the one that is chosen now: that one is confirmed
-// already, or every candidate has answered that it is not.
+// mayVoteEarly reports whether a process that has not voted yet need not wait until a vote
+// of an earlier one has run out: an owner is confirmed without that vote, or most candidates
+// have answered and none is. That such a vote makes a second owner then takes the restart of
+// most coordinators while another one runs on that they don't reach.
 func (e *Elector) mayVoteEarly(now time.Duration, candidates []uint32) bool {
 	if e.number > 0 {
 		return false
 	}
-	isConfirmed := func(c uint32) bool { return e.isThere(now, c) && e.sightings[c].confirmed }
-	isMissing := func(c uint32) bool { return !e.isThere(now, c) }
-	return slices.ContainsFunc(candidates, isConfirmed) || !slices.ContainsFunc(candidates, isMissing)
+	there, confirmed := 0, false
+	for _, c := range candidates {
+		if e.isThere(now, c) {
+			there++
+			confirmed = confirmed || e.sightings[c].confirmed
+		}
+	}
+	return confirmed || 2*there > len(candidates)
 }
 
 func (e *Elector) isThere(now time.Duration, candidate uint32) bool {
