--- a/granter/model_test.go
+++ b/granter/model_test.go
@@ -39,7 +39,7 @@
 	local     int
 	asked     int
 	refused   int
-	overLimit int // Of the refused ones.
+	overLimit int  // Of the refused ones.
 	double    bool // Deliver each reply twice to the tokens: a deliberate double grant.
 }
 
