Leave it to the relays to try a store that everybody has lost

Change: an instance that has tried the store in vain reads it every 5 s while a relay of its zone says that it has lost it too; the relay tries for all. A later revision that a peer names still asks all sources at once.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -72,6 +72,7 @@
 	readTime    time.Duration // How long the last read of the keys took.
 	probeFailed bool          // A probe has failed since the last read.
 	lastFailure string        // The reason of the last failure that was logged.
+	deferral    deferral
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -256,6 +257,7 @@
 // adopt replaces the keys by those that were read from a source.
 func (f *Follower) adopt(store storer.Store, read keysRead, relayed bool) {
 	f.readTime = read.took
+	f.deferral = deferral{}
 	f.recordRead(storer.Name(store))
 	f.recordEra(read.result.Revision())
 	if read.result.IsRecovering() {
--- a/follower/source.go
+++ b/follower/source.go
@@ -56,14 +56,19 @@
 
 // sources returns where the keys can be read, in order of preference. Peers of other zones
 // are among them only if peers know a later revision than this instance: if the store
-// serves nobody, they have nothing new.
+// serves nobody, they have nothing new. For the same reason an instance whose relays have
+// lost the store reads it less often then.
 func (f *Follower) sources() []source {
 	var sources []source
 	for _, relay := range f.availableRelays() {
 		sources = append(sources, relaySource{store: relay})
 	}
+	target, _ := f.catchUp.pending()
+	if target.IsZero() && f.relays.enabled() && f.deferral.skipsStore(f.now()) {
+		return sources
+	}
 	sources = append(sources, storeSource{store: f.store})
-	if target, _ := f.catchUp.pending(); target.IsZero() {
+	if target.IsZero() {
 		return sources
 	}
 	fallbacks := f.relays.fallbacks()
@@ -198,6 +203,7 @@
 		if err == nil {
 			continue
 		}
+		f.deferral.observe(sources[n], err, f.now())
 		if _, ok := sources[n].(storeSource); ok {
 			storeErr = err
 			continue
