Limit the calls to cold workers of a service with a warm-up rate

Cause: a cold worker crashes at a rate well above what it takes, and any instance sent there. Change: one instance of each region holds a token bucket for each cold worker, and a call that goes there has taken one of its calls. Result: existing tests of limiter, scheduler, picker, tracker and dispatcher pass.

--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -46,7 +46,7 @@
 // the last look before the call is sent.
 func (c *activeCall) isClosed(granted limiter.Granted) (reason string, closed bool) {
 	pool := c.serviceState.Pool()
-	if e := pool.Exclude(granted.Worker(), c.constraint); e != limiter.NotExcluded {
+	if e := pool.ExcludeGranted(granted, c.constraint); e != limiter.NotExcluded {
 		return string(e), true
 	}
 	return "leaving", pool.IsClosed(granted.Worker())
--- a/limiter/admission.go
+++ b/limiter/admission.go
@@ -23,6 +23,8 @@
 	onBehalfOfPeer bool
 	// assigned is set if another instance made the assignment.
 	assigned *peerAssignment
+	// hasColdCall is set if a call of the allowance of a cold worker has been taken.
+	hasColdCall bool
 }
 
 // Refused says why no slot was granted.
@@ -51,6 +53,9 @@
 // Assigned reports whether another instance chose the worker.
 func (g Granted) Assigned() bool { return g.assigned != nil }
 
+// HasColdCall reports whether a call of the allowance of a cold worker has been taken.
+func (g Granted) HasColdCall() bool { return g.hasColdCall }
+
 // CandidateSummary returns the summary of the candidates that the decision was based on.
 func (g Granted) CandidateSummary() CandidateSummary { return g.summary }
 
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -20,8 +20,9 @@
 // Assigned names the worker. The outcome of the call must be reported exactly
 // once.
 type Assigned struct {
-	worker *tracker.Worker
-	report func(CallOutcome)
+	worker      *tracker.Worker
+	report      func(CallOutcome)
+	hasColdCall bool
 }
 
 // HeldSlot carries a slot that this instance has already acquired.
@@ -48,6 +49,16 @@
 	return Assigned{worker: worker, report: report}
 }
 
+// WithColdCall returns r as an assignment for which a call of the worker's allowance has been
+// taken, as the worker is cold.
+func (a Assigned) WithColdCall() Assigned {
+	a.hasColdCall = true
+	return a
+}
+
+// HasColdCall reports whether a call of the allowance of a cold worker has been taken.
+func (a Assigned) HasColdCall() bool { return a.hasColdCall }
+
 // NewRejected returns a rejection. After retryAfter, if it is known, the call may be
 // served.
 func NewRejected(retryAfter time.Duration) Rejected { return Rejected{retryAfter: retryAfter} }
@@ -127,7 +138,7 @@
 // and returns false if the worker must not get the call: the scheduler may have an older
 // list.
 func (p *Pool) grantAssigned(r Assigned, req Request, arrival time.Time) (Granted, bool) {
-	if !req.constraint.permits(r.worker) {
+	if !req.constraint.permits(r.worker) || p.IsColdLimited(r.worker) && !r.hasColdCall {
 		r.report(OutcomeNone)
 		return Granted{}, false
 	}
@@ -138,7 +149,7 @@
 	p.trackInFlight(1)
 	return Granted{
 		pool: p, worker: r.worker, target: req.target, waited: time.Since(arrival), summary: summary,
-		assigned: &peerAssignment{report: r.report},
+		assigned: &peerAssignment{report: r.report}, hasColdCall: r.hasColdCall,
 	}, true
 }
 
@@ -150,11 +161,9 @@
 	if p.waiting.Load() > 0 && (!req.noWait || (req.hedge && req.pastTarget())) {
 		return Granted{}, picker.Wait{}
 	}
-	worker, decision := p.pickAndAcquire(p.policyFor(&req), &req, &summary)
-	if _, ok := decision.(picker.Send); !ok {
-		return Granted{summary: summary}, decision
-	}
-	return Granted{pool: p, worker: worker, target: req.target, summary: summary, onBehalfOfPeer: req.onBehalfOfPeer}, decision
+	granted, decision := p.pickAndAcquire(p.policyFor(&req), &req, &summary)
+	granted.summary = summary
+	return granted, decision
 }
 
 // WaitForCapacity queues the call for a short time until a worker has capacity.
--- a/limiter/candidates.go
+++ b/limiter/candidates.go
@@ -24,7 +24,7 @@
 
 // buildCandidates appends a candidate for each worker. If more than the
 // allowed share of the workers is ejected, ejected workers are used again.
-func (p *Pool) buildCandidates(candidates []picker.Candidate, workers []*tracker.Worker, req *Request, now time.Duration, summary *CandidateSummary) []picker.Candidate {
+func (p *Pool) buildCandidates(candidates []picker.Candidate, workers []*tracker.Worker, h holding, req *Request, now time.Duration, summary *CandidateSummary) []picker.Candidate {
 	var means [distanceCount]int64
 	for d := range means {
 		means[d] = p.meanLatencyAt(d)
@@ -34,8 +34,11 @@
 	ejected, excluded := 0, 0
 	for _, w := range workers {
 		c := p.candidate(w, means[w.Distance()], now, req).Capped(maxCalls)
-		if !req.constraint.permits(w) {
+		switch access := p.coldAccessTo(w, h, now); {
+		case !req.constraint.permits(w) || access == accessClosed:
 			c = c.AsExcluded()
+		case access == accessSpent:
+			c = c.AsSpent()
 		}
 		candidates = append(candidates, c)
 		summary.add(c)
--- a/limiter/constraint.go
+++ b/limiter/constraint.go
@@ -23,6 +23,8 @@
 	// ExcludedByEvacuation excludes a worker of an availability zone that the operator has
 	// evacuated.
 	ExcludedByEvacuation Exclusion = "evacuated"
+	// ExcludedAsCold excludes a cold worker for which no call of its allowance was taken.
+	ExcludedAsCold Exclusion = "cold"
 )
 
 // exclude returns why the worker must not get the call, or NotExcluded. It is the only
@@ -44,6 +46,18 @@
 // has become known since the worker was chosen.
 func (p *Pool) Exclude(worker *tracker.Worker, c Constraint) Exclusion { return c.exclude(worker) }
 
+// ExcludeGranted returns why the call must not be sent to the granted worker, or NotExcluded.
+func (p *Pool) ExcludeGranted(g Granted, c Constraint) Exclusion {
+	if e := c.exclude(g.worker); e != NotExcluded {
+		return e
+	}
+	if !g.hasColdCall && p.IsColdLimited(g.worker) {
+		coldPassOversTotal.Inc()
+		return ExcludedAsCold
+	}
+	return NotExcluded
+}
+
 // hasNoWorkerLeft returns the reason to refuse a call at once that no worker may get, and
 // false if there is one.
 func (p *Pool) hasNoWorkerLeft(req *Request) (Reason, bool) {
--- a/limiter/loan.go
+++ b/limiter/loan.go
@@ -72,7 +72,7 @@
 	}
 	p.mutex.Lock()
 	head := p.ownHead()
-	if head != nil && !head.req.constraint.permits(loan.worker) {
+	if head != nil && (!head.req.constraint.permits(loan.worker) || p.IsColdLimited(loan.worker)) {
 		head = nil
 	}
 	if head != nil {
--- a/limiter/overflow.go
+++ b/limiter/overflow.go
@@ -8,19 +8,21 @@
 // acquireOverflow acquires a slot beyond the instance's own share at the
 // worker with the lowest expected latency. That may be a worker of another
 // region, as long as the budget for remote calls allows it.
-func (p *Pool) acquireOverflow(req *Request) (*tracker.Worker, bool) {
+func (p *Pool) acquireOverflow(req *Request) (Granted, bool) {
 	var summary CandidateSummary
-	worker, decision := p.pickAndAcquire(picker.NewOverflow(true), req, &summary)
+	granted, decision := p.pickAndAcquire(picker.NewOverflow(true), req, &summary)
 	if _, ok := decision.(picker.Send); !ok {
-		return nil, false
+		return Granted{}, false
 	}
-	if worker.Distance() < distanceCount-1 || p.remoteBudget.Withdraw() {
-		return worker, true
+	granted.overflow = true
+	if granted.worker.Distance() < distanceCount-1 || p.remoteBudget.Withdraw() {
+		return granted, true
 	}
-	p.releaseSlot(worker)
-	worker, decision = p.pickAndAcquire(picker.NewOverflow(false), req, &summary)
+	p.releaseSlot(granted.worker)
+	granted, decision = p.pickAndAcquire(picker.NewOverflow(false), req, &summary)
+	granted.overflow = true
 	_, ok := decision.(picker.Send)
-	return worker, ok
+	return granted, ok
 }
 
 func (p *Pool) releaseSlot(worker *tracker.Worker) {
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -56,6 +56,7 @@
 	slots            int
 	workersWithShare int // Workers at which the instance has a slot.
 	hasEvacuated     bool
+	holding          holding
 }
 
 // Pool admits calls to the workers of one service.
@@ -86,6 +87,8 @@
 	probeRequests chan<- *Pool
 	ledger        *drainer.Ledger
 	leavingGrace  time.Duration
+	coldTolerance ColdTolerance
+	coldLimit     atomic.Pointer[coldLimit] // Or nil if cold workers are not limited.
 }
 
 // Option configures a Pool.
@@ -139,6 +142,8 @@
 		queue:        newQueue(),
 		remoteBudget: budgeter.NewAttemptBudget(remoteShare),
 		ledger:       drainer.New(),
+
+		coldTolerance: NewColdTolerance(1, 0),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -181,7 +186,7 @@
 		known[w.ID()] = w
 	}
 	shares := p.slotShares(list, instances)
-	next := &workerSet{workers: make([]*tracker.Worker, 0, len(list))}
+	next := &workerSet{workers: make([]*tracker.Worker, 0, len(list)), holding: p.nextHolding(old.holding, instances)}
 	for i, member := range list {
 		w := p.reuseOrAdd(known, member, len(old.workers) > 0)
 		w.SetShare(shares[i])
@@ -217,10 +222,13 @@
 	w := known[member.ID()]
 	if w == nil || !w.Member().SameIncarnation(member) {
 		w = tracker.NewWorker(member, distance, cold)
-		w.SetColdUntil(p.Now() + member.ColdFor())
+		p.markCold(w, member.ColdFor())
 		p.applyStanding(w, member)
-	} else if w.Member().Leaving() && !member.Leaving() {
-		w.ClearLeaving()
+	} else {
+		p.applyEntry(w, member)
+		if w.Member().Leaving() && !member.Leaving() {
+			w.ClearLeaving()
+		}
 	}
 	w.Update(member, distance)
 	if member.Leaving() {
@@ -255,10 +263,11 @@
 		return p.acquireAssigned(ctx, req, arrival)
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
-		worker, decision := p.pickAndAcquire(p.policy, &req, &summary)
+		granted, decision := p.pickAndAcquire(p.policy, &req, &summary)
 		switch decision.(type) {
 		case picker.Send:
-			return Granted{pool: p, worker: worker, summary: summary}
+			granted.summary = summary
+			return granted
 		case picker.Refuse:
 			return Refused{reason: ReasonNoWorker, summary: summary}
 		case picker.Wait:
@@ -277,51 +286,6 @@
 	}
 }
 
-// pickAndAcquire picks a worker and acquires a slot there. The worker is only
-// set if the decision is Send.
-func (p *Pool) pickAndAcquire(policy picker.Policy, req *Request, summary *CandidateSummary) (*tracker.Worker, picker.Decision) {
-	var buffer [stackBufferSize]picker.Candidate
-	if _, ok := policy.(picker.RoundRobin); ok {
-		policy = picker.NewRoundRobin(p.roundRobinCounter.Add(1))
-	}
-	set := p.workerSet.Load()
-	workers := set.workers
-	if req.localOnly {
-		workers = set.local
-	}
-	for range maxAcquireAttempts {
-		now := p.Now()
-		candidates := p.buildCandidates(buffer[:0], workers, req, now, summary)
-		isNoneUsable := summary.usable == 0 && len(workers) == len(set.workers)
-		if req.lastResort || isNoneUsable && !req.hedge {
-			admitLastResort(candidates)
-		}
-		decision := picker.Pick(policy, candidates, p.rng)
-		send, ok := decision.(picker.Send)
-		if _, refused := decision.(picker.Refuse); refused && len(workers) < len(set.workers) {
-			workers = set.workers // A worker of another region may be usable.
-			continue
-		}
-		if !ok {
-			return nil, decision
-		}
-		worker := workers[send.Index()]
-		p.recordChosen(summary, worker, candidates[send.Index()], now)
-		limit, bounded := acquireLimit(policy, candidates[send.Index()])
-		if !bounded { // The picker itself bounds overflow.
-			worker.Acquire(now)
-		} else if !worker.TryAcquire(now, limit) {
-			continue
-		}
-		if req.onBehalfOfPeer {
-			worker.AddLent(1)
-		}
-		p.trackInFlight(1)
-		return worker, decision
-	}
-	return nil, picker.Wait{}
-}
-
 func (p *Pool) completeGrant(g Granted, arrival time.Time, summary CandidateSummary) Granted {
 	g.waited, g.summary = time.Since(arrival), summary
 	return g
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -90,15 +90,15 @@
 		return p.completeGrant(<-w.ready, arrival, summary)
 	}
 	p.waiting.Add(-1)
-	worker, decision := p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+	granted, decision := p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
 	if _, ok := decision.(picker.Send); !ok {
 		w.req.lastResort = true
-		worker, decision = p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+		granted, decision = p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
 	}
 	if _, ok := decision.(picker.Send); !ok {
 		return Refused{reason: ReasonOverload, waited: time.Since(arrival), summary: summary}
 	}
-	return p.completeGrant(Granted{pool: p, worker: worker, target: w.req.target, onBehalfOfPeer: w.req.onBehalfOfPeer}, arrival, summary)
+	return p.completeGrant(granted, arrival, summary)
 }
 
 func (p *Pool) policyFor(req *Request) picker.Policy {
@@ -191,7 +191,7 @@
 	now := p.Now()
 	return slices.ContainsFunc(p.workerSet.Load().local, func(w *tracker.Worker) bool {
 		state := w.State(p.meanLatencyAt(w.Distance()), now)
-		if !(Constraint{}).permits(w) {
+		if !(Constraint{}).permits(w) || p.IsColdLimited(w) {
 			return false
 		}
 		return state == picker.Usable || state == picker.Suspect
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -39,17 +39,19 @@
 		return Granted{}, false
 	}
 	var summary CandidateSummary
-	worker, decision := p.pickAndAcquire(p.policyFor(&req), &req, &summary)
-	if _, ok := decision.(picker.Send); ok && !req.avoids(worker.ID()) {
-		return Granted{pool: p, worker: worker, target: req.target, summary: summary}, true
+	granted, decision := p.pickAndAcquire(p.policyFor(&req), &req, &summary)
+	granted.summary = summary
+	if _, ok := decision.(picker.Send); ok && !req.avoids(granted.worker.ID()) {
+		return granted, true
 	} else if ok {
-		p.releaseSlot(worker)
+		p.releaseSlot(granted.worker)
 	}
 	if p.usesReportedLoad() {
 		return Granted{}, false
 	}
-	worker, ok := p.acquireOverflow(&req)
-	return Granted{pool: p, worker: worker, overflow: true, summary: summary}, ok
+	granted, ok := p.acquireOverflow(&req)
+	granted.summary = summary
+	return granted, ok
 }
 
 // RecordAnswer records an answer and its latency. An error answer counts as a
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -118,19 +118,19 @@
 		if head == nil {
 			return
 		}
-		worker, decision := p.pickAndAcquire(p.policyFor(&head.req), &head.req, &summary)
+		granted, decision := p.pickAndAcquire(p.policyFor(&head.req), &head.req, &summary)
 		if _, ok := decision.(picker.Send); ok {
-			p.deliver(head, Granted{pool: p, worker: worker, target: head.req.target, onBehalfOfPeer: head.req.onBehalfOfPeer})
+			p.deliver(head, granted)
 			continue
 		}
 		if !head.mayOverflow.Load() {
 			return
 		}
-		worker, ok := p.acquireOverflow(&head.req)
+		granted, ok := p.acquireOverflow(&head.req)
 		if !ok {
 			return
 		}
-		p.deliver(head, Granted{pool: p, worker: worker, overflow: true})
+		p.deliver(head, granted)
 	}
 }
 
--- a/picker/decision.go
+++ b/picker/decision.go
@@ -46,11 +46,13 @@
 	LastResort
 	// Excluded candidates must not get the call, whatever the state of the others.
 	Excluded
+	// Spent candidates take the call a little later, as their allowance is spent.
+	Spent
 )
 
 // String returns the name of s in logs.
 func (s State) String() string {
-	return [...]string{"usable", "suspect", "ejected", "paused", "leaving", "last-resort", "excluded"}[s]
+	return [...]string{"usable", "suspect", "ejected", "paused", "leaving", "last-resort", "excluded", "spent"}[s]
 }
 
 // Candidate is what the instance knows of one worker.
@@ -125,6 +127,14 @@
 	return c
 }
 
+// AsSpent returns c as a candidate whose allowance is spent, unless it is not usable anyway.
+func (c Candidate) AsSpent() Candidate {
+	if routable(c.state) {
+		c.state = Spent
+	}
+	return c
+}
+
 // Readmitted returns c as usable if it was ejected.
 func (c Candidate) Readmitted() Candidate {
 	if c.state == Ejected {
--- a/picker/reported_load.go
+++ b/picker/reported_load.go
@@ -88,6 +88,9 @@
 	usable, considered, withCapacity := false, 0, 0
 	for i := range candidates {
 		c := &candidates[i]
+		if c.state == Spent && !c.avoid {
+			usable = true
+		}
 		if !routable(c.state) || c.avoid {
 			continue
 		}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -75,6 +75,8 @@
 	statusUnknownService
 	// statusOverLimit says that the call is beyond the rate limit of its tenant.
 	statusOverLimit
+	// statusAssignedCold assigns a cold worker, from whose allowance a call has been taken.
+	statusAssignedCold
 )
 
 // assignmentReply answers an assignment request. It carries the latest load report
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -64,7 +64,7 @@
 			case statusQueued:
 				timer.Reset(t.queued)
 				continue
-			case statusAssigned:
+			case statusAssigned, statusAssignedCold:
 				return r.resolve(reply)
 			case statusUnknownService:
 				return limiter.Undecided{}
@@ -107,11 +107,15 @@
 		return limiter.Undecided{}
 	}
 	reply.Load.apply(r.pool, worker)
-	return limiter.NewAssigned(worker, func(f limiter.CallOutcome) {
+	assigned := limiter.NewAssigned(worker, func(f limiter.CallOutcome) {
 		m := completion{Kind: kindCompletion, Finding: uint8(f), Call: reply.Call, Worker: reply.Worker}
 		if report, ok := worker.Report(); ok && !report.IsFromPeer() {
 			m.Load = newLoadReport(worker, r.pool.Now())
 		}
 		r.owner.send(m, r.address)
 	})
+	if reply.Status == statusAssignedCold {
+		return assigned.WithColdCall()
+	}
+	return assigned
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -200,16 +200,19 @@
 // grantSlot records the grant and replies with the worker, or rejects the request.
 func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, to *net.UDPAddr) {
 	start := time.Now()
+	status := statusAssigned
 	g := &grant{pool: service.pool, expires: time.Now().Add(time.Duration(m.DeadlineLeftMs)*time.Millisecond + expiryGrace)}
 	switch r := assignment.(type) {
 	case limiter.HeldSlot:
 		g.worker = r.Granted().Worker()
+		status = assignedStatus(r.Granted().HasColdCall())
 		g.complete = func(f limiter.CallOutcome) {
 			service.pool.RecordOutcome(r.Granted(), f, time.Since(start))
 			r.Granted().Release()
 		}
 	case limiter.Assigned:
 		g.worker, g.complete = r.Worker(), r.ReportOutcome
+		status = assignedStatus(r.HasColdCall())
 	default:
 		s.reject(m, to)
 		return
@@ -217,11 +220,18 @@
 	s.grants.Store(m.Call, g)
 	assignedTotal.Inc()
 	s.send(assignmentReply{
-		Kind: kindReply, Status: statusAssigned, Call: m.Call,
+		Kind: kindReply, Status: status, Call: m.Call,
 		Worker: registrar.Hash(g.worker.ID()), Load: newLoadReport(g.worker, service.pool.Now()),
 	}, to)
 }
 
+func assignedStatus(hasColdCall bool) replyStatus {
+	if hasColdCall {
+		return statusAssignedCold
+	}
+	return statusAssigned
+}
+
 func (s *Scheduler) reject(m assignmentRequest, to *net.UDPAddr) {
 	rejectedTotal.Inc()
 	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call}, to)
--- a/tracker/report.go
+++ b/tracker/report.go
@@ -84,7 +84,7 @@
 // Load returns an estimate of the worker's load by its report, the calls that were
 // sent since, and the calls that peers have in flight.
 func (w *Worker) Load(now time.Duration) picker.Load {
-	cold := now < time.Duration(w.coldUntil.Load())
+	cold := w.IsCold(now)
 	// The calls on lent slots are also among the calls that the peers report.
 	seen := w.OwnInFlight() + max(w.lent.Load(), w.peerCallsSum(now))
 	r := w.report.Load()
@@ -94,6 +94,3 @@
 	since := int32(w.sent.Load() - r.sent)
 	return picker.NewLoad(r.running, r.waiting, r.slots, r.slowdown, max(now-r.at, 0)).WithSentSinceReport(since).WithKnownInFlight(seen).WithCold(cold)
 }
-
-// SetColdUntil sets the time until which the worker warms up after its start.
-func (w *Worker) SetColdUntil(at time.Duration) { w.coldUntil.Store(int64(at)) }
--- a/tracker/worker.go
+++ b/tracker/worker.go
@@ -63,6 +63,8 @@
 	announced           atomic.Bool  // The worker itself has announced that it is about to stop.
 	lastResortUntil     atomic.Int64 // Until then, calls that no other worker can take are sent to it.
 	coldUntil           atomic.Int64
+	coldSince           atomic.Int64
+	allowanceFullAt     atomic.Int64 // When the allowance of a cold worker is full again.
 	unconfirmedUntil    atomic.Int64
 	unhealthy           atomic.Bool
 	sent                atomic.Int64 // Calls sent since the start.
