Learn of cold workers from their entries, health checks and peers

Cause: a worker may turn cold at any moment, which only the entry of a new start told. Change: later entries, the health response's warm-up time and a flag of gossip records.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -153,14 +153,16 @@
 	p.ledger = drainer.New(drainer.WithLog(p.log))
 	p.publisher = publisher.New(p.self(),
 		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithAssigner(p.requestAssignment),
-			limiter.WithLedger(p.ledger), limiter.WithLeavingGrace(time.Duration(leavingGraceRatio*float64(p.settings.DrainTimeout())))),
+			limiter.WithLedger(p.ledger), limiter.WithLeavingGrace(time.Duration(leavingGraceRatio*float64(p.settings.DrainTimeout()))),
+			limiter.WithColdTolerance(limiter.NewColdTolerance(p.settings.ColdTolerance().Factor(), p.settings.ColdTolerance().Calls()))),
 		publisher.WithRetryBudget(publisher.NewRetryBudget(retryBudgetUse*p.settings.RetryBudgetRatio(), retryBudgetUse*p.settings.RetryBudgetExtra())))
 	p.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
 		sender.WithIdleTimeout(upstreamIdleTimeout),
 		sender.WithResponseBuffer(bufferedResponseBytes),
 		sender.WithEchoHeader(adapter.HeaderRequestID))
-	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad, healthchecker.WithLeavingHeader(adapter.HeaderLeaving))
+	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad, healthchecker.WithLeavingHeader(adapter.HeaderLeaving),
+		healthchecker.WithWarmupHeader(adapter.HeaderWarmup))
 	p.dispatcher = dispatcher.New(p.publisher, p.recorder, p.asserter, dispatcher.WithVerifier(verifier.New(p.checker)))
 }
 
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -258,6 +258,7 @@
 		return
 	}
 	t.pool.RecordCheck(t.worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
+	t.recordWarmup(health)
 	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
 	}
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/healthchecker"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/tracker"
@@ -34,6 +35,7 @@
 	sentReport  atomic.Int64 // The time of the last report that was sent.
 	calls       atomic.Int32 // The number of calls that was last sent.
 	condition   atomic.Int32 // The condition that was last sent to all coordinators.
+	coldUntil   atomic.Int64 // The end of the worker's warm-up by the checks of this instance.
 }
 
 // checkDue reports whether the worker needs a check: its report is old, the worker
@@ -43,6 +45,15 @@
 	return t.path != "" && t.worker.ReportAge(now) >= t.refresh-recheckMargin && t.worker.LeavingFor(now) == 0
 }
 
+// recordWarmup records what a check of this instance says of the worker's warm-up. Peers get
+// only that: what they have said themselves would never end.
+func (t *target) recordWarmup(health healthchecker.Health) {
+	if left, ok := healthchecker.WarmupOf(health); ok {
+		t.state.coldUntil.Store(int64(t.pool.Now() + left))
+		t.pool.RecordWarmup(t.worker, left)
+	}
+}
+
 // takeUpdate returns what this instance itself has observed of the worker since the
 // last call, and false if there is nothing new.
 func (t *target) takeUpdate() (record, bool) {
@@ -62,6 +73,9 @@
 	if t.worker.Unhealthy() {
 		r.Flags |= flagUnhealthy
 	}
+	if int64(t.pool.Now()) < t.state.coldUntil.Load() {
+		r.Flags |= flagCold
+	}
 	return r, fresh
 }
 
@@ -69,6 +83,7 @@
 const (
 	conditionNormal = int32(iota)
 	conditionSlow
+	conditionCold
 	conditionUnhealthy
 	conditionUnreachable
 )
@@ -79,6 +94,8 @@
 		return conditionUnreachable
 	case r.Flags&flagUnhealthy != 0:
 		return conditionUnhealthy
+	case r.Flags&flagCold != 0:
+		return conditionCold
 	case float64(r.SlowdownPercent) >= picker.SlowdownThreshold*percent:
 		return conditionSlow
 	}
@@ -102,6 +119,9 @@
 		t.pool.BackOff(t.worker)
 		return
 	}
+	if r.Flags&flagCold != 0 {
+		t.pool.RecordColdHearsay(t.worker)
+	}
 	if r.Flags&flagReport != 0 && t.pool.RecordReport(t.worker, r.report(t.pool.Now())) {
 		t.worker.SetUnhealthy(r.Flags&flagUnhealthy != 0)
 	}
--- a/healthchecker/healthchecker.go
+++ b/healthchecker/healthchecker.go
@@ -46,6 +46,7 @@
 	load      parser.Load
 	loadKnown bool // The response has a load report.
 	leaving   bool // The worker announces that it is about to stop.
+	warmup    parser.Warmup
 }
 
 // readingOf returns what the response of a result says beside the worker's health.
@@ -75,6 +76,10 @@
 // AnnouncesLeaving reports whether the worker has announced that it is about to stop.
 func AnnouncesLeaving(health Health) bool { return readingOf(health).leaving }
 
+// WarmupOf returns for how much longer the worker is cold, and false if the response does not
+// say.
+func WarmupOf(health Health) (time.Duration, bool) { return readingOf(health).warmup.Left() }
+
 // Err returns the error of the request. It may be nil.
 func (u Unreachable) Err() error { return u.err }
 
@@ -87,6 +92,7 @@
 	workerHeader  string
 	loadHeader    string
 	leavingHeader string
+	warmupHeader  string
 }
 
 // Option sets one property of a Checker.
@@ -96,6 +102,10 @@
 // The default is none.
 func WithLeavingHeader(name string) Option { return func(c *Checker) { c.leavingHeader = name } }
 
+// WithWarmupHeader names the header by which a worker says for how many milliseconds longer it
+// is cold. The default is none.
+func WithWarmupHeader(name string) Option { return func(c *Checker) { c.warmupHeader = name } }
+
 // New returns a Checker that sends requests through s. The headers named here hold the
 // ID of the worker and its load report in a response.
 func New(s *sender.Sender, workerHeader, loadHeader string, opts ...Option) *Checker {
@@ -135,7 +145,11 @@
 	}
 	// A missing or malformed load report does not change the health of the worker.
 	load, err := parser.ParseLoad(response.Header.Get(c.loadHeader))
-	r := reading{load: load, loadKnown: err == nil, leaving: parser.ParseLeaving(response.Header.Get(c.leavingHeader))}
+	r := reading{
+		load: load, loadKnown: err == nil,
+		leaving: parser.ParseLeaving(response.Header.Get(c.leavingHeader)),
+		warmup:  parser.ParseWarmup(response.Header.Get(c.warmupHeader)),
+	}
 	if response.StatusCode == http.StatusOK {
 		return Healthy{reading: r}
 	}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -172,6 +172,7 @@
 		if state == nil {
 			state = &ServiceState{pool: limiter.New(service.Name(), p.self, p.poolOptions...), budget: p.newBudget()}
 		}
+		state.pool.SetWarmup(service.Warmup())
 		serviceStates[service.Name()] = state
 	}
 	return serviceStates
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -161,6 +161,9 @@
 	case healthchecker.Healthy, healthchecker.Unreachable:
 	}
 	pool.RecordCheck(worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
+	if left, ok := healthchecker.WarmupOf(health); ok {
+		pool.RecordWarmup(worker, left)
+	}
 	if load, ok := healthchecker.LoadOf(health); ok {
 		pool.RecordReport(worker, load.Report(pool.Now()))
 	}
