--- a/limiter/constraint_test.go
+++ b/limiter/constraint_test.go
@@ -26,6 +26,9 @@
 	members   []registrar.Worker
 	evacuated []string
 	allowed   []string // Regions, or none if all are.
+	cold      []registrar.WorkerID
+	holds     bool // The instance holds the allowances of the cold workers of its region.
+	instances []registrar.Instance
 	assigner  limiter.Assigner
 }
 
@@ -45,18 +48,43 @@
 		f.members = append(f.members, registrar.NewWorker(id, "s", "", registrar.NewLocality(region, zone), 2, false).WithStart(firstStart, 0))
 	}
 	f.allowed = rapid.SliceOfNDistinct(rapid.SampledFrom(fleetRegions), 0, 2, rapid.ID).Draw(t, "allowed regions")
+	if f.holds = rapid.Bool().Draw(t, "holds the allowances"); f.holds {
+		f.instances = []registrar.Instance{self}
+	}
+	// Fast enough that an allowance fills between two calls.
+	f.pool.SetWarmup(descriptor.NewWarmup(time.Minute, 1e6))
 	f.evacuate(t)
 	for _, w := range f.pool.Workers() {
 		f.disturb(t, w)
 	}
+	f.chill(t)
 	return f
 }
 
+// chill lets workers become cold beside those that are.
+func (f *drawnFleet) chill(t *rapid.T) {
+	for _, m := range f.members {
+		if rapid.IntRange(0, 3).Draw(t, "turns cold") == 0 {
+			f.pool.RecordWarmup(f.pool.Find(m.ID()), time.Minute)
+			f.cold = append(f.cold, m.ID())
+		}
+	}
+}
+
+// isCold reports whether the worker is cold.
+func (f *drawnFleet) isCold(w *tracker.Worker) bool { return slices.Contains(f.cold, w.ID()) }
+
+// hasRightToCold reports whether the call may go to a cold worker: another instance has taken
+// a call of its allowance, or this one may.
+func (f *drawnFleet) hasRightToCold(g limiter.Granted) bool {
+	return g.HasColdCall() && (g.Assigned() || f.holds && g.Worker().Locality().Region() == "a")
+}
+
 // evacuate evacuates other zones than before.
 func (f *drawnFleet) evacuate(t *rapid.T) {
 	zones := rapid.SampledFrom([]string{"a-0", "a-1", "b-0", "b-1", "c-0", "c-1"})
 	f.evacuated = rapid.SliceOfNDistinct(zones, 0, 4, rapid.ID).Draw(t, "evacuated zones")
-	f.pool.Update(registrar.NewList(1, f.members, nil).WithEvacuatedZones(f.evacuated...).Workers(), nil)
+	f.pool.Update(registrar.NewList(1, f.members, nil).WithEvacuatedZones(f.evacuated...).Workers(), f.instances)
 }
 
 // disturb brings a worker into a drawn state.
@@ -93,9 +121,11 @@
 // assignAny returns an Assigner of any worker, as a scheduler with an older list.
 func (f *drawnFleet) assignAny(t *rapid.T, reported *int) limiter.Assigner {
 	worker := rapid.SampledFrom(f.pool.Workers()).Draw(t, "assigned worker")
-	return func(context.Context, *limiter.Pool, limiter.Request) limiter.Assignment {
-		return limiter.NewAssigned(worker, func(limiter.CallOutcome) { *reported++ })
+	assigned := limiter.NewAssigned(worker, func(limiter.CallOutcome) { *reported++ })
+	if rapid.Bool().Draw(t, "knows that it is cold") {
+		assigned = assigned.WithColdCall()
 	}
+	return func(context.Context, *limiter.Pool, limiter.Request) limiter.Assignment { return assigned }
 }
 
 // ways are the ways of a call to a worker.
@@ -158,8 +188,8 @@
 	}},
 }
 
-// Pattern: calls that may be processed in some regions only, evacuated zones, and any
-// fault of the workers. Guards against a way on which a call reaches a worker that it must
+// Pattern: calls that may be processed in some regions only, evacuated zones, cold workers,
+// and any fault of the workers. Guards against a way on which a call reaches a worker that it must
 // not reach, also when no other is usable, and against one that stays barred.
 func TestNoWayLeadsOutsideTheConstraint(t *testing.T) {
 	policies := []picker.Policy{
@@ -177,9 +207,14 @@
 					if !f.permits(granted.Worker()) {
 						t.Fatalf("a call that may use %v went to %v, while %v are evacuated", f.allowed, granted.Worker().Member(), f.evacuated)
 					}
+					if f.isCold(granted.Worker()) && !f.hasRightToCold(granted) {
+						t.Fatalf("a call went to %v, which is cold", granted.Worker().Member())
+					}
 					f.evacuate(t)
-					excluded := f.pool.Exclude(granted.Worker(), f.request().Constraint()) != limiter.NotExcluded
-					if excluded == f.permits(granted.Worker()) {
+					f.chill(t)
+					excluded := f.pool.ExcludeGranted(granted, f.request().Constraint()) != limiter.NotExcluded
+					isBarred := !f.permits(granted.Worker()) || f.isCold(granted.Worker()) && !granted.HasColdCall()
+					if excluded != isBarred {
 						t.Fatalf("right before the send, %v counts as excluded: %v", granted.Worker().Member(), excluded)
 					}
 					granted.Release()
