--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -258,7 +258,9 @@
 		return
 	}
 	t.pool.RecordCheck(t.worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
-	t.recordWarmup(health)
+	if left, ok := healthchecker.WarmupOf(health); ok {
+		t.recordWarmup(left)
+	}
 	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
 	}
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -4,7 +4,6 @@
 	"sync/atomic"
 	"time"
 
-	"burdocklane/healthchecker"
 	"burdocklane/limiter"
 	"burdocklane/picker"
 	"burdocklane/tracker"
@@ -47,11 +46,9 @@
 
 // recordWarmup records what a check of this instance says of the worker's warm-up. Peers get
 // only that: what they have said themselves would never end.
-func (t *target) recordWarmup(health healthchecker.Health) {
-	if left, ok := healthchecker.WarmupOf(health); ok {
-		t.state.coldUntil.Store(int64(t.pool.Now() + left))
-		t.pool.RecordWarmup(t.worker, left)
-	}
+func (t *target) recordWarmup(left time.Duration) {
+	t.state.coldUntil.Store(int64(t.pool.Now() + left))
+	t.pool.RecordWarmup(t.worker, left)
 }
 
 // takeUpdate returns what this instance itself has observed of the worker since the
