Show cold workers in decision lines and in the log

Change: cold= counts cold workers passed over, cold=true marks a send to one, and 'worker is cold' names each that turns cold.

--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -109,6 +109,14 @@
 			},
 			"; worker w0 was passed over (evacuated)",
 		},
+		{
+			"a worker that had turned cold",
+			[]recorder.Decision{
+				decision("x", 0, "pass-over", "cold", recorder.WithAttempt(1, "w0"), target), send,
+				decision("x", 300, "pass", "answered", recorder.WithAttempt(1, "w1"), target, took(300)),
+			},
+			"; worker w0 was passed over (cold)",
+		},
 		{"interrupted response", []recorder.Decision{send, decision("x", 9, "broken", "transfer-broken")}, "the response was interrupted"},
 		{"no final line", []recorder.Decision{send}, "no log line records how the call ended"},
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -258,8 +258,8 @@
 		return
 	}
 	t.pool.RecordCheck(t.worker, healthchecker.IsHealthy(health), healthchecker.AnnouncesLeaving(health))
-	if left, ok := healthchecker.WarmupOf(health); ok {
-		t.recordWarmup(left)
+	if left, ok := healthchecker.WarmupOf(health); ok && t.recordWarmup(left) {
+		i.log.Info().Str("worker", string(t.worker.ID())).Dur("left-ms", left).Msg("worker is cold")
 	}
 	if load, ok := healthchecker.LoadOf(health); ok {
 		t.pool.RecordReport(t.worker, load.Report(t.pool.Now()))
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -46,9 +46,12 @@
 
 // recordWarmup records what a check of this instance says of the worker's warm-up. Peers get
 // only that: what they have said themselves would never end.
-func (t *target) recordWarmup(left time.Duration) {
-	t.state.coldUntil.Store(int64(t.pool.Now() + left))
+// It reports whether the worker has turned cold and gets fewer calls for it.
+func (t *target) recordWarmup(left time.Duration) bool {
+	now := t.pool.Now()
+	wasCold := t.state.coldUntil.Swap(int64(now+left)) > int64(now)
 	t.pool.RecordWarmup(t.worker, left)
+	return !wasCold && t.pool.IsColdLimited(t.worker)
 }
 
 // takeUpdate returns what this instance itself has observed of the worker since the
--- a/limiter/candidate_summary.go
+++ b/limiter/candidate_summary.go
@@ -15,6 +15,7 @@
 	queued          int32
 	inFlight        int32
 	excluded        int32
+	cold            int32       // Cold workers whose allowance is spent, or held by another instance.
 	chosen          picker.Load // Known load of the chosen worker, if it reports any.
 	expectedLatency time.Duration
 }
@@ -52,5 +53,8 @@
 	if s.excluded > 0 {
 		b = strconv.AppendInt(append(b, " excluded="...), int64(s.excluded), 10)
 	}
+	if s.cold > 0 {
+		b = strconv.AppendInt(append(b, " cold="...), int64(s.cold), 10)
+	}
 	return b
 }
--- a/limiter/candidate_summary_test.go
+++ b/limiter/candidate_summary_test.go
@@ -17,6 +17,8 @@
 		want    string
 	}{
 		{"nothing chosen", CandidateSummary{total: 5, usable: 4, free: 3, inFlight: 2, queued: 1}, "total=5 usable=4 free=3 in-flight=2 queued=1"},
+		{"cold workers passed over", CandidateSummary{total: 5, usable: 3, free: 3, excluded: 1, cold: 2}, "total=5 usable=3 free=3 in-flight=0 queued=0 excluded=1 cold=2"},
+		{"a cold worker", CandidateSummary{chosen: load.WithCold(true), expectedLatency: time.Second}, "running=2 waiting=1 slots=6 pace=1.00 age=16ms since=3 seen=4 cold=true expected=1s"},
 		{"nothing known", CandidateSummary{}, "total=0 usable=0 free=0 in-flight=0 queued=0"},
 		{
 			"chosen here",
--- a/limiter/candidates.go
+++ b/limiter/candidates.go
@@ -34,12 +34,16 @@
 	ejected, excluded := 0, 0
 	for _, w := range workers {
 		c := p.candidate(w, means[w.Distance()], now, req).Capped(maxCalls)
-		switch access := p.coldAccessTo(w, h, now); {
+		access := p.coldAccessTo(w, h, now)
+		switch {
 		case !req.constraint.permits(w) || access == accessClosed:
 			c = c.AsExcluded()
 		case access == accessSpent:
 			c = c.AsSpent()
 		}
+		if access == accessClosed || access == accessSpent {
+			summary.cold++
+		}
 		candidates = append(candidates, c)
 		summary.add(c)
 		switch c.State() {
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -95,7 +95,11 @@
 	b = append(b, " age="...)
 	b = append(b, min(l.age, maxLoggedAge).Round(time.Millisecond).String()...)
 	b = appendCount(b, " since=", l.sentSinceReport)
-	return appendCount(b, " seen=", l.knownInFlight)
+	b = appendCount(b, " seen=", l.knownInFlight)
+	if l.cold {
+		b = append(b, " cold=true"...)
+	}
+	return b
 }
 
 func appendCount(b []byte, name string, count int32) []byte {
