Verify workers of other regions for calls that have to go there

Cause: late calls of classes with regions went to workers in other regions that had turned slow since their report, 25 to 130 ms old; only workers of the own region were verified. Change: those of other regions too, if a tenth of the time until the target covers the round trip. Calls without a restriction, for which other regions are the exception, as before.

--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -63,6 +63,9 @@
 	}
 	pool := c.serviceState.Pool()
 	choice := verifier.NewChoice(worker.ReportAge(pool.Now()), worker.Distance(), c.rejections, time.Until(c.targetDeadline()))
+	if c.call.Regions().IsRestricted() {
+		choice = choice.Confined()
+	}
 	timeout, due := choice.Timeout()
 	if !due {
 		return verifier.Confirmed{}
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -27,8 +27,8 @@
 	timeShare  = 0.1
 	minTimeout = 20 * time.Millisecond
 	maxTimeout = 100 * time.Millisecond
-	// maxDistance is the distance of the workers that are verified: those of the region.
-	maxDistance = 1
+	// remoteTimeout is the least time for the verification of a worker in another region.
+	remoteTimeout = 40 * time.Millisecond
 )
 
 var (
@@ -69,6 +69,7 @@
 	distance    int
 	rejections  int
 	untilTarget time.Duration
+	confined    bool // The call may be processed in some regions only.
 }
 
 // NewChoice returns a choice of a worker at a distance, by a report of the given age, for
@@ -77,12 +78,22 @@
 	return Choice{reportAge: reportAge, distance: distance, rejections: rejections, untilTarget: untilTarget}
 }
 
+// Confined returns c as a choice for a call that may be processed in some regions only. It
+// goes to another region as a rule, not only when its own has no capacity.
+func (c Choice) Confined() Choice {
+	c.confined = true
+	return c
+}
+
 // Timeout returns how long the verification may take, and false if none is due.
 func (c Choice) Timeout() (time.Duration, bool) {
-	if c.reportAge <= maxReportAge || c.distance > maxDistance || c.rejections >= MaxRejections || c.untilTarget <= minTimeout {
+	if c.reportAge <= maxReportAge || c.rejections >= MaxRejections || c.untilTarget <= minTimeout {
 		return 0, false
 	}
 	timeout := time.Duration(timeShare * float64(c.untilTarget))
+	if c.distance >= picker.RemoteDistance && (!c.confined || timeout < remoteTimeout) {
+		return 0, false
+	}
 	return min(max(timeout, minTimeout), maxTimeout), true
 }
 
