--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -46,7 +46,7 @@
 // the last look before the call is sent.
 func (c *activeCall) isClosed(granted limiter.Granted) (reason string, closed bool) {
 	pool := c.serviceState.Pool()
-	if e := pool.Exclude(granted.Worker(), c.constraint); e != limiter.NotExcluded {
+	if e := pool.ExcludeGranted(granted, c.constraint); e != limiter.NotExcluded {
 		return string(e), true
 	}
 	return "leaving", pool.IsClosed(granted.Worker())
@@ -63,6 +63,9 @@
 	}
 	pool := c.serviceState.Pool()
 	choice := verifier.NewChoice(worker.ReportAge(pool.Now()), worker.Distance(), c.rejections, time.Until(c.targetDeadline()))
+	if c.call.Regions().IsRestricted() {
+		choice = choice.Confined()
+	}
 	timeout, due := choice.Timeout()
 	if !due {
 		return verifier.Confirmed{}
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -84,6 +84,8 @@
 	// statusLimitPending is statusLimitUnknown where the scheduler has just asked for more
 	// tokens.
 	statusLimitPending
+	// statusAssignedCold assigns a cold worker, from whose allowance a call has been taken.
+	statusAssignedCold
 )
 
 // assignmentReply answers an assignment request. It carries the latest load report
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -251,16 +251,19 @@
 // grantSlot records the grant and replies with the worker, or rejects the request.
 func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, charge charger.Charged, to *net.UDPAddr) {
 	start := time.Now()
+	status := statusAssigned
 	g := &grant{pool: service.pool, expires: time.Now().Add(time.Duration(m.DeadlineLeftMs)*time.Millisecond + expiryGrace)}
 	switch r := assignment.(type) {
 	case limiter.HeldSlot:
 		g.worker = r.Granted().Worker()
+		status = assignedStatus(r.Granted().HasColdCall())
 		g.complete = func(f limiter.CallOutcome) {
 			service.pool.RecordOutcome(r.Granted(), f, time.Since(start))
 			r.Granted().Release()
 		}
 	case limiter.Assigned:
 		g.worker, g.complete = r.Worker(), r.ReportOutcome
+		status = assignedStatus(r.HasColdCall())
 	default:
 		s.reject(m, charge, to)
 		return
@@ -268,11 +271,18 @@
 	s.grants.Store(m.Call, g)
 	assignedTotal.Inc()
 	s.send(assignmentReply{
-		Kind: kindReply, Status: statusAssigned, Call: m.Call,
+		Kind: kindReply, Status: status, Call: m.Call,
 		Worker: registrar.Hash(g.worker.ID()), Load: newLoadReport(g.worker, service.pool.Now()),
 	}, to)
 }
 
+func assignedStatus(hasColdCall bool) replyStatus {
+	if hasColdCall {
+		return statusAssignedCold
+	}
+	return statusAssigned
+}
+
 // reject rejects the request for lack of capacity, and gives its token back.
 func (s *Scheduler) reject(m assignmentRequest, charge charger.Charged, to *net.UDPAddr) {
 	rejectedTotal.Inc()
