--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -52,6 +52,9 @@
 // served.
 func NewRejected(retryAfter time.Duration) Rejected { return Rejected{retryAfter: retryAfter} }
 
+// RetryAfter returns when the call may be served, or 0 if that is unknown.
+func (r Rejected) RetryAfter() time.Duration { return r.retryAfter }
+
 // NewOverLimit returns a rejection of a call beyond the rate limit of its tenant, which
 // admits calls again after retryAfter.
 func NewOverLimit(retryAfter time.Duration) OverLimit { return OverLimit{retryAfter: retryAfter} }
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -77,8 +77,12 @@
 	meanInFlight      atomic.Int64 // Moving average of the calls in flight, in thousandths.
 	inFlight          atomic.Int32 // Calls in flight.
 
-	mutex sync.Mutex // Guards queue; never held while a call runs.
-	queue *queue
+	ranksCalls atomic.Bool  // The queue is ordered by rank.
+	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
+
+	mutex       sync.Mutex // Guards queue and queueGrants; never held while a call runs.
+	queue       *queue
+	queueGrants uint64 // Grants to queued calls.
 
 	assigner      Assigner
 	demand        chan SlotDemand
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -1,9 +1,11 @@
 package limiter
 
 import (
-	"container/heap"
+	"slices"
 	"sync/atomic"
 	"time"
+
+	"burdocklane/ranker"
 )
 
 // waiter is a queued call.
@@ -15,8 +17,9 @@
 	// mayOverflow is set once the call has waited long enough to use a slot
 	// beyond the instance's own share.
 	mayOverflow atomic.Bool
-	index       int
+	queued      bool
 	sequence    uint64
+	rank        ranker.Rank // In a pool that ranks calls.
 }
 
 // queue orders queued calls by virtual deadline: the virtual arrival time plus
@@ -25,9 +28,9 @@
 // slots can serve. The calls of such a caller count as if they had arrived at
 // the rate of the slots (Zhang, "Virtual Clock", 1990), so that they do not
 // get ahead of other callers' calls. Requests of peers are ordered behind all
-// own calls.
+// own calls. A pool that ranks calls orders them by rank instead.
 type queue struct {
-	waiters       []*waiter
+	waiters       []*waiter // In order.
 	virtualClocks map[string]time.Time
 	peerCount     int
 	lastSequence  uint64
@@ -48,53 +51,47 @@
 
 func newQueue() *queue { return &queue{virtualClocks: map[string]time.Time{}} }
 
-// Len implements heap.Interface.
-func (q *queue) Len() int { return len(q.waiters) }
-
-// Less implements heap.Interface.
-func (q *queue) Less(i, j int) bool {
-	a, b := q.waiters[i], q.waiters[j]
-	if a.virtualDeadline.Equal(b.virtualDeadline) {
-		return a.sequence < b.sequence
+// before reports whether w is ordered before other.
+func (w *waiter) before(other *waiter) bool {
+	if w.rank != other.rank {
+		return w.rank.Before(other.rank)
 	}
-	return a.virtualDeadline.Before(b.virtualDeadline)
-}
-
-// Swap implements heap.Interface.
-func (q *queue) Swap(i, j int) {
-	q.waiters[i], q.waiters[j] = q.waiters[j], q.waiters[i]
-	q.waiters[i].index, q.waiters[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (q *queue) Push(x any) {
-	w, _ := x.(*waiter)
-	w.index = len(q.waiters)
-	q.waiters = append(q.waiters, w)
+	if w.virtualDeadline.Equal(other.virtualDeadline) {
+		return w.sequence < other.sequence
+	}
+	return w.virtualDeadline.Before(other.virtualDeadline)
 }
 
-// Pop implements heap.Interface.
-func (q *queue) Pop() any {
-	last := len(q.waiters) - 1
-	w := q.waiters[last]
-	q.waiters[last] = nil
-	q.waiters = q.waiters[:last]
-	w.index = -1
-	return w
+// position returns the number of waiters that are ordered before w.
+func (q *queue) position(w *waiter) int {
+	at, _ := slices.BinarySearchFunc(q.waiters, w, func(queued, w *waiter) int {
+		if queued.before(w) {
+			return -1
+		}
+		return 1
+	})
+	return at
 }
 
 // add inserts w into the queue. perCall is the mean interval at which the
 // slots serve calls.
 func (q *queue) add(w *waiter, perCall time.Duration) {
-	q.lastSequence++
-	w.sequence = q.lastSequence
 	if w.req.lending {
 		w.virtualDeadline = w.arrival.Add(peerPenalty)
 		q.peerCount++
 	} else {
 		w.virtualDeadline = q.virtualArrival(w, perCall).Add(w.req.target)
 	}
-	heap.Push(q, w)
+	q.insert(w)
+}
+
+// addRanked inserts w into the queue by its rank.
+func (q *queue) addRanked(w *waiter) { q.insert(w) }
+
+func (q *queue) insert(w *waiter) {
+	q.lastSequence++
+	w.sequence, w.queued = q.lastSequence, true
+	q.waiters = slices.Insert(q.waiters, q.position(w), w)
 }
 
 // virtualArrival returns the virtual arrival of a call and advances its
@@ -124,10 +121,12 @@
 
 // remove deletes w from the queue. It returns false if w was no longer queued.
 func (q *queue) remove(w *waiter) bool {
-	if w.index < 0 {
+	if !w.queued {
 		return false
 	}
-	heap.Remove(q, w.index)
+	at := q.position(w)
+	q.waiters = slices.Delete(q.waiters, at, at+1)
+	w.queued = false
 	if w.req.lending {
 		q.peerCount--
 	}
@@ -143,3 +142,15 @@
 
 // ownCount returns the number of the instance's own queued calls.
 func (q *queue) ownCount() int { return len(q.waiters) - q.peerCount }
+
+// mostUrgent returns the call that has to start first, whatever its priority and work, or
+// nil.
+func (q *queue) mostUrgent() *waiter {
+	var urgent *waiter
+	for _, w := range q.waiters {
+		if urgent == nil || w.rank.MoreUrgent(urgent.rank) {
+			urgent = w
+		}
+	}
+	return urgent
+}
--- /dev/null
+++ b/limiter/ranking.go
@@ -0,0 +1,164 @@
+package limiter
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"burdocklane/picker"
+	"burdocklane/ranker"
+)
+
+const (
+	// maxFailedGrants is how many queued calls may turn out to have no worker until the next
+	// slot is free: they avoid the workers that are.
+	maxFailedGrants = 3
+	// workWeight is the weight of a new call in the moving average of the calls' work.
+	workWeight = 0.05
+)
+
+// SetRanksCalls sets whether the queue is ordered by the rank of the calls, which depends
+// on their priorities and work and on the shares of their tenants.
+func (p *Pool) SetRanksCalls(ranks bool) { p.ranksCalls.Store(ranks) }
+
+// rank gives the call its place in the queue and returns how long it may wait, or why it
+// must not. The caller holds the mutex.
+func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
+	call := p.rankable(&w.req)
+	w.rank = call.RankAt(p.Now(), p.observeWork(call.Work()))
+	switch v := ranker.Decide(call, w.req.target, p.room(w)).(type) {
+	case ranker.Wait:
+		return v.Limit(), ""
+	case ranker.WaitBriefly:
+		return v.Limit(), ""
+	}
+	return 0, ReasonNoRoom
+}
+
+// MaxWait returns how long the call waits for capacity at most, or 0 if the pool does not
+// rank calls.
+func (p *Pool) MaxWait(req Request) time.Duration {
+	if !p.ranksCalls.Load() {
+		return 0
+	}
+	return p.rankable(&req).MaxWait(req.target)
+}
+
+// rankable returns what the rank of the call depends on.
+func (p *Pool) rankable(req *Request) ranker.Call {
+	return ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target))
+}
+
+// congestedLatency returns the latency of a call at a worker at normal speed that is
+// congested, as all are while calls wait.
+func (p *Pool) congestedLatency(target time.Duration) time.Duration {
+	return time.Duration(float64(p.BaseLatency(target)) * float64(p.congestionFactor.Load()) / perThousand)
+}
+
+// observeWork updates the moving average of the calls' work and returns it.
+func (p *Pool) observeWork(work time.Duration) time.Duration {
+	old := p.meanWork.Load()
+	if old == 0 {
+		old = int64(work)
+	}
+	mean := old + int64(workWeight*float64(int64(work)-old))
+	p.meanWork.Store(mean)
+	return time.Duration(mean)
+}
+
+// room returns the room for a call, or for any call if w is nil. The caller holds the
+// mutex.
+func (p *Pool) room(w *waiter) ranker.Room {
+	ahead := len(p.queue.waiters)
+	if w != nil {
+		ahead = p.queue.position(w)
+	}
+	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())/max(p.effectiveSlots(), 1)))
+}
+
+// effectiveSlots returns the number of slots in the instance's region, where a slot of a
+// worker that takes twice as long counts as half a slot.
+func (p *Pool) effectiveSlots() float64 {
+	now := p.Now()
+	slots := 0.0
+	for _, w := range p.workerSet.Load().local {
+		if state := w.State(0, now); state == picker.Usable || state == picker.Suspect {
+			slots += float64(w.Member().Slots()) / w.Load(now).Slowdown()
+		}
+	}
+	return slots
+}
+
+// returnAfter returns when the caller of a refused call is told to come back, or 0 if the
+// pool does not rank calls.
+func (p *Pool) returnAfter(req *Request) time.Duration {
+	if !p.ranksCalls.Load() {
+		return 0
+	}
+	p.mutex.Lock()
+	room := p.room(nil)
+	p.mutex.Unlock()
+	return ranker.ReturnAfter(room, time.Until(req.deadline), rand.Float64())
+}
+
+// dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
+// time at the moment are passed over. The caller holds the mutex.
+func (p *Pool) dispatchByRank() {
+	p.grantMostUrgent()
+	fastest := p.fastestFreeWorker()
+	failures := 0
+	for at := 0; at < len(p.queue.waiters) && failures < maxFailedGrants; {
+		w := p.queue.waiters[at]
+		switch {
+		case !p.mayAnswerOnTime(&w.req, fastest):
+			at++
+		case p.grantTo(w):
+			fastest = p.fastestFreeWorker()
+		default:
+			at++
+			failures++
+		}
+	}
+}
+
+// fastestFreeWorker returns the lowest slowdown to expect of a call at a worker that would
+// not queue it, or infinity if there is none.
+func (p *Pool) fastestFreeWorker() float64 {
+	now := p.Now()
+	fastest := math.Inf(1)
+	for _, w := range p.workerSet.Load().local {
+		load := p.workerLoad(w, now)
+		if state := w.State(0, now); !load.Saturated() && (state == picker.Usable || state == picker.Suspect) {
+			fastest = min(fastest, load.ExpectedLatency(time.Second).Seconds())
+		}
+	}
+	return fastest
+}
+
+// mayAnswerOnTime reports whether a worker with the slowdown would answer the call on time,
+// or the call is late anyway.
+func (p *Pool) mayAnswerOnTime(req *Request, slowdown float64) bool {
+	latency := slowdown * float64(p.BaseLatency(req.target))
+	if req.pastTarget() {
+		return latency <= float64(time.Until(req.deadline))
+	}
+	return latency <= float64(time.Until(req.targetDeadline))
+}
+
+// grantMostUrgent grants a slot to the most urgent call, if it is its turn.
+func (p *Pool) grantMostUrgent() {
+	if urgent := p.queue.mostUrgent(); urgent != nil && ranker.IsUrgentTurn(p.queueGrants) {
+		p.grantTo(urgent)
+	}
+}
+
+// grantTo grants a slot to a queued call. It returns false if no worker can take it.
+func (p *Pool) grantTo(w *waiter) bool {
+	var summary CandidateSummary
+	worker, decision := p.pickAndAcquire(p.policyFor(&w.req), &w.req, &summary)
+	if _, ok := decision.(picker.Send); !ok {
+		return false
+	}
+	p.deliver(w, Granted{pool: p, worker: worker, target: w.req.target, onBehalfOfPeer: w.req.onBehalfOfPeer})
+	return true
+}
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdocklane/picker"
+	"burdocklane/ranker"
 	"burdocklane/tracker"
 )
 
@@ -14,11 +15,6 @@
 	// baseLatencyGuess is the share of a class's target that is assumed as its
 	// base latency until a call has been answered.
 	baseLatencyGuess = 0.35
-	// capacityWaitShare is the share of a class's target that a call waits for
-	// capacity, up to maxCapacityWait: a caller that is refused after that
-	// still has time to retry.
-	capacityWaitShare = 0.125
-	maxCapacityWait   = 50 * time.Millisecond
 	// congestionWeight is the weight of a new answer in the moving average of
 	// the congestion factor, by which congested workers are slower.
 	// maxCongestionFactor bounds that factor.
@@ -57,18 +53,16 @@
 
 func (p *Pool) queueForCapacity(ctx context.Context, req Request, arrival time.Time, summary CandidateSummary) Admission {
 	w := &waiter{req: req, arrival: arrival, ready: make(chan Granted, 1)}
-	p.mutex.Lock()
-	full := p.queue.ownCount() >= p.queueLimit
-	if !full {
-		p.queue.add(w, 0)
-		p.waiting.Add(1)
-	}
-	p.mutex.Unlock()
-	if full {
-		return Refused{reason: ReasonQueueFull, summary: summary}
+	limit, reason := p.enqueueForCapacity(w)
+	switch reason {
+	case "":
+	case ReasonNoRoom:
+		return p.acquireUrgent(w, p.reportedLoadPolicy(&req).Uncongested(), arrival, summary)
+	default:
+		return Refused{reason: reason, summary: summary}
 	}
 	p.dispatch()
-	timer := time.NewTimer(min(time.Duration(capacityWaitShare*float64(req.target)), maxCapacityWait))
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case granted := <-w.ready:
@@ -76,27 +70,55 @@
 	case <-ctx.Done():
 		return p.abandon(w, ReasonCancelled, arrival, summary)
 	case <-timer.C:
-		return p.acquireUrgent(w, arrival, summary)
+		if !p.leaveQueue(w) {
+			return p.completeGrant(<-w.ready, arrival, summary)
+		}
+		return p.acquireUrgent(w, p.reportedLoadPolicy(&w.req), arrival, summary)
 	}
 }
 
-// acquireUrgent sends a call that has waited for capacity to a congested or
-// slow worker, or else to one that is about to stop and still serves, or refuses it.
-func (p *Pool) acquireUrgent(w *waiter, arrival time.Time, summary CandidateSummary) Admission {
+// enqueueForCapacity adds the call to the queue and returns how long it may wait, or why
+// it must not.
+func (p *Pool) enqueueForCapacity(w *waiter) (time.Duration, Reason) {
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.queue.ownCount() >= p.queueLimit {
+		return 0, ReasonQueueFull
+	}
+	limit := ranker.LateWait(w.req.target)
+	if p.ranksCalls.Load() {
+		var reason Reason
+		if limit, reason = p.rank(w); reason != "" {
+			return 0, reason
+		}
+	}
+	p.queue.add(w, 0)
+	p.waiting.Add(1)
+	return limit, ""
+}
+
+// leaveQueue removes w from the queue. It returns false if a slot has been granted in the
+// meantime.
+func (p *Pool) leaveQueue(w *waiter) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	removed := p.queue.remove(w)
-	p.mutex.Unlock()
-	if !removed {
-		return p.completeGrant(<-w.ready, arrival, summary)
+	if removed {
+		p.waiting.Add(-1)
 	}
-	p.waiting.Add(-1)
-	worker, decision := p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+	return removed
+}
+
+// acquireUrgent sends a call that must not wait for capacity any longer to a congested or
+// slow worker, or else to one that is about to stop and still serves, or refuses it.
+func (p *Pool) acquireUrgent(w *waiter, policy picker.ReportedLoad, arrival time.Time, summary CandidateSummary) Admission {
+	worker, decision := p.pickAndAcquire(policy.Urgent(), &w.req, &summary)
 	if _, ok := decision.(picker.Send); !ok {
 		w.req.lastResort = true
-		worker, decision = p.pickAndAcquire(p.reportedLoadPolicy(&w.req).Urgent(), &w.req, &summary)
+		worker, decision = p.pickAndAcquire(policy.Urgent(), &w.req, &summary)
 	}
 	if _, ok := decision.(picker.Send); !ok {
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival), summary: summary}
+		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: p.returnAfter(&w.req), summary: summary}
 	}
 	return p.completeGrant(Granted{pool: p, worker: worker, target: w.req.target, onBehalfOfPeer: w.req.onBehalfOfPeer}, arrival, summary)
 }
@@ -113,9 +135,12 @@
 	if req.hedge {
 		policy = policy.AsHedge()
 	}
-	if req.hedge && req.pastTarget() {
+	if req.pastTarget() && (req.hedge || p.ranksCalls.Load()) {
 		policy = policy.Urgent()
 	}
+	if p.ranksCalls.Load() {
+		policy = policy.Unqueued()
+	}
 	if req.localOnly {
 		return policy.LocalOnly()
 	}
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -18,6 +18,8 @@
 	ReasonNoWorker  Reason = "no-worker"
 	ReasonQueueFull Reason = "queue-full"
 	ReasonOverload  Reason = "overload"
+	// ReasonNoRoom refuses a call that is not expected to get a slot in time.
+	ReasonNoRoom    Reason = "no-room-in-time"
 	ReasonDeadline  Reason = "deadline"
 	ReasonCancelled Reason = "cancelled"
 	// ReasonOverLimit refuses a call beyond the rate limit of its tenant.
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -112,6 +112,10 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.ranksCalls.Load() {
+		p.dispatchByRank()
+		return
+	}
 	var summary CandidateSummary
 	for {
 		head := p.queue.head()
@@ -138,5 +142,6 @@
 func (p *Pool) deliver(w *waiter, g Granted) {
 	p.queue.remove(w)
 	p.waiting.Add(-1)
+	p.queueGrants++
 	w.ready <- g
 }
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -146,7 +146,7 @@
 		return
 	}
 	if pool, found := h.findWorker(call, worker); found != nil {
-		pool.RecordReport(found, load.Report(pool.Now()))
+		pool.RecordReport(found, load.WithoutAnswered().Report(pool.Now()))
 	}
 }
 
--- a/parser/load.go
+++ b/parser/load.go
@@ -25,6 +25,13 @@
 	return tracker.NewReport(l.running, l.waiting, l.slots, l.slowdown, at)
 }
 
+// WithoutAnswered returns l without the call whose response carried the report: it counts as
+// running until the worker has sent the response.
+func (l Load) WithoutAnswered() Load {
+	l.running = max(l.running-1, 0)
+	return l
+}
+
 // LoadError reports a malformed load report.
 type LoadError struct{ text string }
 
--- a/picker/reported_load.go
+++ b/picker/reported_load.go
@@ -40,6 +40,8 @@
 	urgent        bool
 	localOnly     bool
 	hedge         bool
+	unqueued      bool
+	uncongested   bool
 }
 
 // NewReportedLoad returns the policy for a call, given the time until its
@@ -78,6 +80,31 @@
 	return p
 }
 
+// Unqueued returns p for a call that must not queue at a worker, since calls queue before
+// they are assigned.
+func (p ReportedLoad) Unqueued() ReportedLoad {
+	p.unqueued = true
+	return p
+}
+
+// Uncongested returns p for a call that must not be sent to a congested worker, since other
+// calls wait for it.
+func (p ReportedLoad) Uncongested() ReportedLoad {
+	p.uncongested = true
+	return p
+}
+
+// mayCongest reports whether the call may be sent to the worker although it is congested.
+func (p ReportedLoad) mayCongest(c *Candidate) bool {
+	switch {
+	case p.uncongested:
+		return false
+	case c.saturated:
+		return !p.unqueued && float64(c.latency) <= maxQueueingShare*float64(p.untilTarget)
+	}
+	return true
+}
+
 // pickReported picks the best worker that is not congested and expected to
 // answer on time, or else a congested one that still answers on time. An
 // urgent call may also use a worker that is not congested but late: such a
@@ -104,7 +131,7 @@
 		case c.latency > int64(p.untilDeadline):
 		case onTime && !c.congested:
 			uncongested.offer(i, score, rng)
-		case onTime && (!c.saturated || float64(c.latency) <= maxQueueingShare*float64(p.untilTarget)):
+		case onTime && p.mayCongest(c):
 			congested.offer(i, score, rng)
 		case !c.congested && p.urgent:
 			late.offer(i, score, rng)
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -164,12 +164,14 @@
 // serviceStatesFor returns the states of the services of a configuration. It keeps
 // those of services that are also in the old snapshot.
 func (p *Publisher) serviceStatesFor(old *Snapshot, d descriptor.Deployment) map[descriptor.ServiceName]*ServiceState {
+	ranked := d.RankedServices()
 	serviceStates := make(map[descriptor.ServiceName]*ServiceState, len(d.Services()))
 	for _, service := range d.Services() {
 		state := old.serviceStates[service.Name()]
 		if state == nil {
 			state = &ServiceState{pool: limiter.New(service.Name(), p.self, p.poolOptions...), budget: p.newBudget()}
 		}
+		state.pool.SetRanksCalls(ranked[service.Name()])
 		serviceStates[service.Name()] = state
 	}
 	return serviceStates
--- /dev/null
+++ b/ranker/ranker.go
@@ -0,0 +1,112 @@
+// Package ranker decides which calls are served first when a service has too little room
+// for all, which may wait, and which are refused at once. It is pure: it has no clock,
+// network or locks, and allocates nothing.
+//
+// The order is that of apparent tardiness cost (Vepsalainen and Morton, 1987): a call is
+// worth more the higher its priority, the less work it needs and the sooner it has to
+// start. In logarithms that is one point in time for each call, which does not change
+// while the call waits.
+package ranker
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// priorityWeight is how many calls of a priority count as much as one of the next
+	// higher priority.
+	priorityWeight = 4
+	// maxPriority is the lowest priority that is told from the one before it, so that no
+	// call is ranked behind others for ever.
+	maxPriority = 8
+	// lateWeight is the weight of a call that cannot meet its target any more.
+	lateWeight = 1.0 / 8
+	// maxLead bounds how far the calls of a tenant that has been served more than its
+	// share are ranked behind those of others.
+	maxLead = time.Second
+)
+
+var (
+	priorityCost = math.Log(priorityWeight)
+	lateCost     = -math.Log(lateWeight)
+)
+
+// Call is what the order depends on. Times are relative to the moment of the decision.
+type Call struct {
+	priority      int
+	untilTarget   time.Duration
+	untilDeadline time.Duration
+	work          time.Duration
+	lead          time.Duration
+}
+
+// NewCall returns a call that is expected to occupy a worker for the given work. Priority
+// 0 is the highest.
+func NewCall(priority int, untilTarget, untilDeadline, work time.Duration) Call {
+	return Call{priority: min(max(priority, 0), maxPriority), untilTarget: untilTarget, untilDeadline: untilDeadline, work: max(work, 1)}
+}
+
+// WithLead returns c as a call of a tenant that has been served more than its share, by
+// so much of the room of the service.
+func (c Call) WithLead(lead time.Duration) Call {
+	c.lead = min(max(lead, 0), maxLead)
+	return c
+}
+
+// Priority returns the priority of the call; 0 is the highest.
+func (c Call) Priority() int { return c.priority }
+
+// Work returns for how long the call is expected to occupy a worker.
+func (c Call) Work() time.Duration { return c.work }
+
+// Lead returns by how much the tenant of the call has been served more than its share.
+func (c Call) Lead() time.Duration { return c.lead }
+
+// IsLate reports whether the call cannot meet its target any more.
+func (c Call) IsLate() bool { return c.untilTarget < c.work }
+
+// IsHopeless reports whether the call cannot be answered before its deadline any more.
+func (c Call) IsHopeless() bool { return c.untilDeadline < c.work }
+
+// usefulWait returns for how long the call may wait and still meet its target, or its
+// deadline if it cannot meet the target.
+func (c Call) usefulWait() time.Duration {
+	if c.IsLate() {
+		return c.untilDeadline - c.work
+	}
+	return c.untilTarget - c.work
+}
+
+// Rank is the place of a call in the order: calls with lower ranks are served first. Ranks
+// of one service at different moments can be compared.
+type Rank struct {
+	weighted time.Duration
+	urgency  time.Duration
+}
+
+// RankAt returns the place of c in the order. now is the time since a fixed moment, and
+// scale the mean work of the service's calls: to be ahead by so much of it is worth as
+// much as a weight e times as high.
+func (c Call) RankAt(now, scale time.Duration) Rank {
+	urgency := now + c.usefulWait() + c.lead
+	cost := float64(c.priority)*priorityCost + math.Log(float64(c.work)/float64(max(scale, 1)))
+	if c.IsLate() {
+		cost += lateCost
+	}
+	return Rank{weighted: urgency + time.Duration(cost*float64(scale)), urgency: urgency}
+}
+
+// Before reports whether a call with rank r is served before one with rank other.
+func (r Rank) Before(other Rank) bool { return r.weighted < other.weighted }
+
+// MoreUrgent reports whether a call with rank r has to start before one with rank other,
+// whatever their priorities and work.
+func (r Rank) MoreUrgent(other Rank) bool { return r.urgency < other.urgency }
+
+// urgentTurn is how many grants out of which one goes to the most urgent call: so no kind
+// of call starves behind those of higher priority.
+const urgentTurn = 4
+
+// IsUrgentTurn reports whether the grant with the number goes to the most urgent call.
+func IsUrgentTurn(number uint64) bool { return number%urgentTurn == 0 }
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -85,7 +85,7 @@
 	Call         callID
 	Worker       uint32
 	Load         loadReport
-	RetryAfterMs uint16 // When a rejected call may be served, or 0 if that is unknown.
+	RetryAfterMs uint16 // When a rejected call may be served, or for how long a queued one waits at most; 0 if that is unknown.
 }
 
 func (r assignmentReply) retryAfter() time.Duration {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -55,7 +55,7 @@
 		case reply := <-r.replies:
 			switch reply.Status {
 			case statusQueued:
-				timer.Reset(queuedTimeout)
+				timer.Reset(max(queuedTimeout, reply.retryAfter()+queuedMargin))
 				continue
 			case statusAssigned:
 				return r.resolve(reply)
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -58,23 +58,36 @@
 			releaseUnused(<-remote)
 			return limiter.NewHeldSlot(granted)
 		}
-		return <-remote
+		return assignedOr(<-remote, admission)
 	case assignment := <-remote:
 		assigned, ok := assignment.(limiter.Assigned)
 		if ok {
 			cancel()
 		}
-		if granted, ok := (<-local).(limiter.Granted); ok {
+		admission := <-local
+		if granted, ok := admission.(limiter.Granted); ok {
 			releaseUnused(assignment)
 			return limiter.NewHeldSlot(granted)
 		}
 		if ok {
 			return assigned
 		}
-		return limiter.Rejected{}
+		return assignedOr(assignment, admission)
 	}
 }
 
+// assignedOr returns the assignment of another region, or else a rejection that says when
+// the local region expects to have room.
+func assignedOr(remote limiter.Assignment, local limiter.Admission) limiter.Assignment {
+	if _, ok := remote.(limiter.Assigned); ok {
+		return remote
+	}
+	if refused, ok := local.(limiter.Refused); ok {
+		return limiter.NewRejected(refused.RetryAfter())
+	}
+	return limiter.Rejected{}
+}
+
 func releaseUnused(r limiter.Assignment) {
 	if assigned, ok := r.(limiter.Assigned); ok {
 		assigned.ReportOutcome(limiter.OutcomeNone)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,9 @@
 	replyTimeout = 20 * time.Millisecond
 	// queuedTimeout bounds the further wait after a reply that the call is queued.
 	queuedTimeout = 60 * time.Millisecond
+	// queuedMargin is how much longer than the longest wait for capacity the wait for the
+	// reply may last.
+	queuedMargin = 20 * time.Millisecond
 	// remoteTimeout is replyTimeout for a scheduler of another region.
 	remoteTimeout = 40 * time.Millisecond
 	// timeoutBackoff is how long no requests go to a scheduler after a timeout.
@@ -66,6 +69,7 @@
 	pending    sync.Map // From call number to *pendingRequest.
 	backoff    sync.Map // From instance ID to the time until which it gets no requests.
 	grants     sync.Map // From callID to *grant.
+	queued     sync.Map // From callID to the context.CancelFunc that ends its wait.
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -179,22 +183,50 @@
 		s.grantSlot(m, service, limiter.NewHeldSlot(granted), from)
 		return
 	case picker.Refuse:
-		s.reject(m, from)
+		s.reject(m, 0, from)
 		return
 	case picker.Wait:
 	}
 	if m.Flags.has(flagSpare) {
-		s.reject(m, from)
+		s.reject(m, 0, from)
 		return
 	}
-	s.send(assignmentReply{Kind: kindReply, Status: statusQueued, Call: m.Call}, from)
+	s.send(assignmentReply{
+		Kind: kindReply, Status: statusQueued, Call: m.Call,
+		RetryAfterMs: clampMilliseconds(service.pool.MaxWait(request)),
+	}, from)
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.queued.Store(m.Call, cancel)
 	s.goroutines.Go(func() {
+		defer s.forgetQueued(m.Call)
 		recoverer.Do(s.log, "queued assignment", func() { //nolint:errcheck // Logged.
-			s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), from)
+			s.grantQueued(ctx, m, service, s.awaitCapacity(ctx, service.pool, request), from)
 		})
 	})
 }
 
+// grantQueued is grantSlot for a call that was queued, unless its requester has withdrawn
+// the request.
+func (s *Scheduler) grantQueued(ctx context.Context, m assignmentRequest, service *service, assignment limiter.Assignment, to *net.UDPAddr) {
+	if ctx.Err() == nil {
+		s.grantSlot(m, service, assignment, to)
+		return
+	}
+	switch r := assignment.(type) {
+	case limiter.HeldSlot:
+		r.Granted().Release()
+	case limiter.Assigned:
+		r.ReportOutcome(limiter.OutcomeNone)
+	}
+}
+
+// forgetQueued ends the wait of a queued call, if it still waits.
+func (s *Scheduler) forgetQueued(c callID) {
+	if cancel, ok := s.queued.LoadAndDelete(c); ok {
+		cancel.(context.CancelFunc)()
+	}
+}
+
 // grantSlot records the grant and replies with the worker, or rejects the request.
 func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, to *net.UDPAddr) {
 	start := time.Now()
@@ -208,8 +240,11 @@
 		}
 	case limiter.Assigned:
 		g.worker, g.complete = r.Worker(), r.ReportOutcome
+	case limiter.Rejected:
+		s.reject(m, r.RetryAfter(), to)
+		return
 	default:
-		s.reject(m, to)
+		s.reject(m, 0, to)
 		return
 	}
 	s.grants.Store(m.Call, g)
@@ -220,14 +255,16 @@
 	}, to)
 }
 
-func (s *Scheduler) reject(m assignmentRequest, to *net.UDPAddr) {
+// reject rejects the call, which may be served after retryAfter, if that is known.
+func (s *Scheduler) reject(m assignmentRequest, retryAfter time.Duration, to *net.UDPAddr) {
 	rejectedTotal.Inc()
-	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call}, to)
+	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call, RetryAfterMs: clampMilliseconds(retryAfter)}, to)
 }
 
 // handleCompletion releases the slot of a call and applies the outcome and the load
 // report of its worker.
 func (s *Scheduler) handleCompletion(m completion) {
+	s.forgetQueued(m.Call)
 	if found, ok := s.grants.Load(m.Call); ok {
 		g := found.(*grant)
 		m.Load.apply(g.pool, g.worker)
