--- a/classifier/index.go
+++ b/classifier/index.go
@@ -187,5 +187,6 @@
 	call := NewCall(r.id, e.split.nextService(), e.class, now, now.Add(timeout))
 	call.caller = r.caller
 	call.idempotencyKey = r.idempotencyKey
+	call.timeout = r.timeout
 	return call
 }
--- a/classifier/request.go
+++ b/classifier/request.go
@@ -57,6 +57,7 @@
 	arrival        time.Time
 	deadline       time.Time
 	tenant         *descriptor.Tenant // Or nil.
+	timeout        time.Duration
 }
 
 // NewCall returns a call of the class that arrived at the given time and fails at the
@@ -110,6 +111,9 @@
 // IdempotencyKey returns the caller's idempotency key, or "".
 func (c *Call) IdempotencyKey() string { return c.idempotencyKey }
 
+// Timeout returns how long the caller waits for an answer, or 0 if it is unknown.
+func (c *Call) Timeout() time.Duration { return c.timeout }
+
 // Arrival returns when the request arrived.
 func (c *Call) Arrival() time.Time { return c.arrival }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/publisher"
+	"burdocklane/ranker"
 	"burdocklane/recorder"
 	"burdocklane/registrar"
 	"burdocklane/retrier"
@@ -158,7 +160,7 @@
 	c.admitted = true
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
 		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
-		limiter.WithRegions(c.regions), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
+		limiter.WithRegions(c.regions), limiter.WithPriority(c.call.Priority()), limiter.WithTimeout(c.call.Timeout()), limiter.WithTenant(c.call.Tenant(), isFirst)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
@@ -311,7 +313,17 @@
 		c.dispatcher.metrics.countOutcome(c.call, "over-limit")
 		return OverLimit{retryAfter: rejection.RetryAfter()}
 	}
-	return c.giveUpUntil(reason, rejection.RetryAfter())
+	return c.giveUpUntil(reason, c.returnAfter(rejection.RetryAfter()))
+}
+
+// returnAfter returns when the caller is told to come back, given the expected wait for a
+// slot, or 0 if that is unknown.
+func (c *activeCall) returnAfter(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	left := max(c.call.Timeout()-time.Since(c.call.Arrival()), time.Until(c.call.Deadline()))
+	return ranker.ReturnAfter(wait, left, rand.Float64())
 }
 
 // giveUp ends the call without a response: as unknown if an attempt may have run,
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -79,6 +79,8 @@
 
 	ranksCalls atomic.Bool  // The queue is ordered by rank.
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
+	patience   sync.Map     // Maps a class's target to its *patience.
+	refusedAt  atomic.Int64 // When a call was last refused.
 
 	mutex       sync.Mutex // Guards queue and queueGrants; never held while a call runs.
 	queue       *queue
@@ -251,7 +253,7 @@
 	p.remoteBudget.Deposit()
 	var summary CandidateSummary
 	if p.usesReportedLoad() {
-		return p.acquireAssigned(ctx, req, arrival)
+		return p.noteRefusal(p.acquireAssigned(ctx, p.aged(req), arrival))
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		worker, decision := p.pickAndAcquire(p.policy, &req, &summary)
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"burdocklane/picker"
@@ -89,16 +88,15 @@
 	return slots
 }
 
-// returnAfter returns when the caller of a refused call is told to come back, or 0 if the
-// pool does not rank calls.
-func (p *Pool) returnAfter(req *Request) time.Duration {
+// expectedWait returns when a refused call may be served, or 0 if the pool does not rank
+// calls.
+func (p *Pool) expectedWait() time.Duration {
 	if !p.ranksCalls.Load() {
 		return 0
 	}
 	p.mutex.Lock()
-	room := p.room(nil)
-	p.mutex.Unlock()
-	return ranker.ReturnAfter(room, time.Until(req.deadline), rand.Float64())
+	defer p.mutex.Unlock()
+	return max(p.room(nil).Wait(), time.Millisecond)
 }
 
 // dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -118,7 +118,7 @@
 		worker, decision = p.pickAndAcquire(policy.Urgent(), &w.req, &summary)
 	}
 	if _, ok := decision.(picker.Send); !ok {
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: p.returnAfter(&w.req), summary: summary}
+		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: p.expectedWait(), summary: summary}
 	}
 	return p.completeGrant(Granted{pool: p, worker: worker, target: w.req.target, onBehalfOfPeer: w.req.onBehalfOfPeer}, arrival, summary)
 }
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -46,6 +46,7 @@
 	lastResort     bool // Workers that are about to stop and still serve may be used too.
 	regions        descriptor.Regions
 	priority       int
+	timeout        time.Duration      // Given by the caller, or 0.
 	tenant         *descriptor.Tenant // Or nil.
 	charged        bool
 }
@@ -70,6 +71,9 @@
 // WithPriority sets the priority of the call; 0 is the highest.
 func WithPriority(rank int) RequestOption { return func(r *Request) { r.priority = rank } }
 
+// WithTimeout sets how long the caller waits for an answer. Zero means that it is unknown.
+func WithTimeout(d time.Duration) RequestOption { return func(r *Request) { r.timeout = d } }
+
 // WithTenant sets the tenant of the call. If charged, the request counts against the
 // tenant's rate limit; only the first request of a call does.
 func WithTenant(t *descriptor.Tenant, charged bool) RequestOption {
--- a/ranker/verdict.go
+++ b/ranker/verdict.go
@@ -83,10 +83,11 @@
 }
 
 // ReturnAfter returns when the caller of a refused call is told to come back: not before
-// the calls that wait now have been served, and within a third of the time that it has
-// left. spread, from 0 to 1, is random, so that callers don't return all at once.
-func ReturnAfter(r Room, untilDeadline time.Duration, spread float64) time.Duration {
-	latest := time.Duration(returnShare * float64(untilDeadline))
-	earliest := min(max(r.Wait(), minReturn), latest/2)
+// the calls that wait now are expected to have been served, and within a third of the time
+// that it has left. spread, from 0 to 1, is random, so that callers don't return all at
+// once.
+func ReturnAfter(wait, left time.Duration, spread float64) time.Duration {
+	latest := time.Duration(returnShare * float64(left))
+	earliest := min(max(wait, minReturn), latest/2)
 	return max(earliest+time.Duration(spread*float64(latest-earliest)), 0)
 }
