--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -233,6 +233,10 @@
 // between caller and instance.
 const networkAllowance = 15 * time.Millisecond
 
+// declinedReturn is when the caller of a call is told to come back that a worker declined
+// although it has free slots: another worker may take it now.
+const declinedReturn = 2 * time.Millisecond
+
 // minServerErrorStatus is the first HTTP status that counts as a server error.
 const minServerErrorStatus = 500
 
@@ -251,7 +255,11 @@
 	case retrier.Forwarded:
 		c.recordDecision("pass", retrier.ResultText(a.result), a, 0, took, a.granted.CandidateSummary())
 		_, declined := a.result.(retrier.Declined)
-		return Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
+		answered := Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
+		if declined && c.serviceState.Pool().HasRoom(a.granted.Worker()) {
+			answered.retryAfter = declinedReturn
+		}
+		return answered
 	case retrier.NotRun:
 		c.discard(a)
 		c.recordDecision("refuse", o.Reason(), a, 0, took, a.granted.CandidateSummary())
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -26,8 +26,10 @@
 type Answered struct {
 	attempt  int
 	declined bool
-	cancel   func()
-	finish   func(complete bool)
+	// retryAfter is when the caller of a declined call is told to come back, or 0.
+	retryAfter time.Duration
+	cancel     func()
+	finish     func(complete bool)
 }
 
 // NotRun means that no worker ran the call.
@@ -66,6 +68,10 @@
 // run.
 func (a Answered) Declined() bool { return a.declined }
 
+// RetryAfter returns when the caller of a declined call is told to come back, or 0 if that is
+// unknown.
+func (a Answered) RetryAfter() time.Duration { return a.retryAfter }
+
 // Cancel ends the transfer of the response, whose body then cannot be read further.
 // Finish must still be called.
 func (a Answered) Cancel() { a.cancel() }
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -99,6 +99,28 @@
 	return max(p.room(nil).Wait(), time.Millisecond)
 }
 
+// mayOvertake reports whether the call goes before all queued calls that a worker could
+// take now.
+func (p *Pool) mayOvertake(req *Request) bool {
+	if !p.ranksCalls.Load() || req.hedge {
+		return false
+	}
+	call := p.rankable(req)
+	rank := call.RankAt(p.Now(), time.Duration(p.meanWork.Load()))
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	fastest := p.fastestFreeWorker()
+	for _, w := range p.queue.waiters {
+		if rank.Before(w.rank) {
+			return true
+		}
+		if p.mayAnswerOnTime(&w.req, fastest) {
+			return false
+		}
+	}
+	return true
+}
+
 // dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
 // time at the moment are passed over. The caller holds the mutex.
 func (p *Pool) dispatchByRank() {
--- a/limiter/results.go
+++ b/limiter/results.go
@@ -95,6 +95,11 @@
 	p.dispatchAfter(g.worker.RecordOverload(retryAfter, p.Now()))
 }
 
+// HasRoom reports whether the worker has a free slot by its own reports.
+func (p *Pool) HasRoom(w *tracker.Worker) bool {
+	return p.usesReportedLoad() && !w.Load(p.Now()).Saturated()
+}
+
 // MarkLeaving records that the worker seems to have left: another one answers at its
 // address.
 func (p *Pool) MarkLeaving(worker *tracker.Worker) { worker.MarkLeaving(p.Now()) }
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync"
@@ -194,7 +195,7 @@
 		return
 	}
 	if response.Header.Get("Retry-After") == "" {
-		h.dialect.setRetryAfter(response.Header, randomRetryAfter())
+		h.dialect.setRetryAfter(response.Header, cmp.Or(done.RetryAfter(), randomRetryAfter()))
 	}
 }
 
