--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/apportioner"
 	"burdocklane/budgeter"
 	"burdocklane/descriptor"
 	"burdocklane/drainer"
@@ -54,6 +55,7 @@
 	workers          []*tracker.Worker
 	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
+	localSlots       int
 	workersWithShare int // Workers at which the instance has a slot.
 }
 
@@ -79,6 +81,7 @@
 
 	ranksCalls atomic.Bool  // The queue is ordered by rank.
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
+	shares     apportioner.Shares
 	patience   sync.Map     // Maps a class's target to its *patience.
 	refusedAt  atomic.Int64 // When a call was last refused.
 
@@ -195,6 +198,7 @@
 		next.workers = append(next.workers, w)
 		if w.Distance() < picker.RemoteDistance {
 			next.local = append(next.local, w)
+			next.localSlots += member.Slots()
 		}
 	}
 	p.workerSet.Store(next)
@@ -318,6 +322,7 @@
 			worker.AddLent(1)
 		}
 		p.trackInFlight(1)
+		p.chargeTenant(req, candidates[send.Index()], now)
 		return worker, decision
 	}
 	return nil, picker.Wait{}
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -45,7 +45,15 @@
 
 // rankable returns what the rank of the call depends on.
 func (p *Pool) rankable(req *Request) ranker.Call {
-	return ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target))
+	return ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target)).
+		WithLead(p.shares.Lead(req.tenant, p.Now()))
+}
+
+// chargeTenant records that a call of the tenant gets a slot.
+func (p *Pool) chargeTenant(req *Request, chosen picker.Candidate, now time.Duration) {
+	if req.tenant != nil && p.ranksCalls.Load() {
+		p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
+	}
 }
 
 // congestedLatency returns the latency of a call at a worker at normal speed that is
