--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -141,6 +141,7 @@
 // and only carries the candidate summary.
 func (p *Pool) TryGrant(req Request) (Granted, picker.Decision) {
 	var summary CandidateSummary
+	p.recordRequest(&req)
 	if p.waiting.Load() > 0 && (!req.noWait || (req.hedge && req.pastTarget())) && !p.mayOvertake(&req) {
 		return Granted{}, picker.Wait{}
 	}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -82,12 +82,12 @@
 	ranksCalls atomic.Bool  // The queue is ordered by rank.
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
 	shares     apportioner.Shares
+	kinds      apportioner.Kinds
 	patience   sync.Map     // Maps a class's target to its *patience.
 	refusedAt  atomic.Int64 // When a call was last refused.
 
-	mutex       sync.Mutex // Guards queue and queueGrants; never held while a call runs.
-	queue       *queue
-	queueGrants uint64 // Grants to queued calls.
+	mutex sync.Mutex // Guards queue; never held while a call runs.
+	queue *queue
 
 	assigner      Assigner
 	demand        chan SlotDemand
@@ -322,7 +322,7 @@
 			worker.AddLent(1)
 		}
 		p.trackInFlight(1)
-		p.chargeTenant(req, candidates[send.Index()], now)
+		p.recordGrant(req, candidates[send.Index()], now)
 		return worker, decision
 	}
 	return nil, picker.Wait{}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -85,9 +85,6 @@
 	q.insert(w)
 }
 
-// addRanked inserts w into the queue by its rank.
-func (q *queue) addRanked(w *waiter) { q.insert(w) }
-
 func (q *queue) insert(w *waiter) {
 	q.lastSequence++
 	w.sequence, w.queued = q.lastSequence, true
@@ -142,15 +139,3 @@
 
 // ownCount returns the number of the instance's own queued calls.
 func (q *queue) ownCount() int { return len(q.waiters) - q.peerCount }
-
-// mostUrgent returns the call that has to start first, whatever its priority and work, or
-// nil.
-func (q *queue) mostUrgent() *waiter {
-	var urgent *waiter
-	for _, w := range q.waiters {
-		if urgent == nil || w.rank.MoreUrgent(urgent.rank) {
-			urgent = w
-		}
-	}
-	return urgent
-}
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -25,11 +25,10 @@
 func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
 	call := p.rankable(&w.req)
 	w.rank = call.RankAt(p.Now(), p.observeWork(call.Work()))
-	switch v := ranker.Decide(call, w.req.target, p.room(w)).(type) {
-	case ranker.Wait:
-		return v.Limit(), ""
-	case ranker.WaitBriefly:
-		return v.Limit(), ""
+	switch ranker.Decide(call, p.room(w)).(type) {
+	case ranker.Wait, ranker.WaitBriefly:
+		return call.MaxWait(w.req.target), ""
+	case ranker.Refuse:
 	}
 	return 0, ReasonNoRoom
 }
@@ -45,17 +44,32 @@
 
 // rankable returns what the rank of the call depends on.
 func (p *Pool) rankable(req *Request) ranker.Call {
-	return ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target)).
+	call := ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target)).
 		WithLead(p.shares.Lead(req.tenant, p.Now()))
+	if p.kinds.IsStarved(req.kind()) {
+		return call.AsStarved()
+	}
+	return call
 }
 
-// chargeTenant records that a call of the tenant gets a slot.
-func (p *Pool) chargeTenant(req *Request, chosen picker.Candidate, now time.Duration) {
-	if req.tenant != nil && p.ranksCalls.Load() {
-		p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
+// recordRequest records that a call asks for a slot, unless its caller has come back.
+func (p *Pool) recordRequest(req *Request) {
+	if p.ranksCalls.Load() && !req.noWait && !req.pastTarget() {
+		p.kinds.Ask(req.kind(), p.Now())
 	}
 }
 
+// recordGrant records that a call gets a slot.
+func (p *Pool) recordGrant(req *Request, chosen picker.Candidate, now time.Duration) {
+	if !p.ranksCalls.Load() {
+		return
+	}
+	if !req.noWait {
+		p.kinds.Serve(req.kind())
+	}
+	p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
+}
+
 // congestedLatency returns the latency of a call at a worker at normal speed that is
 // congested, as all are while calls wait.
 func (p *Pool) congestedLatency(target time.Duration) time.Duration {
@@ -132,7 +146,6 @@
 // dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
 // time at the moment are passed over. The caller holds the mutex.
 func (p *Pool) dispatchByRank() {
-	p.grantMostUrgent()
 	fastest := p.fastestFreeWorker()
 	failures := 0
 	for at := 0; at < len(p.queue.waiters) && failures < maxFailedGrants; {
@@ -173,13 +186,6 @@
 	return latency <= float64(time.Until(req.targetDeadline))
 }
 
-// grantMostUrgent grants a slot to the most urgent call, if it is its turn.
-func (p *Pool) grantMostUrgent() {
-	if urgent := p.queue.mostUrgent(); urgent != nil && ranker.IsUrgentTurn(p.queueGrants) {
-		p.grantTo(urgent)
-	}
-}
-
 // grantTo grants a slot to a queued call. It returns false if no worker can take it.
 func (p *Pool) grantTo(w *waiter) bool {
 	var summary CandidateSummary
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"burdocklane/apportioner"
 	"burdocklane/descriptor"
 	"burdocklane/registrar"
 )
@@ -161,6 +162,8 @@
 	return r
 }
 
+func (r *Request) kind() apportioner.Kind { return apportioner.NewKind(r.priority, r.target) }
+
 // pastTarget reports whether an answer can no longer meet the target.
 func (r *Request) pastTarget() bool { return time.Until(r.targetDeadline) <= 0 }
 
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -142,6 +142,5 @@
 func (p *Pool) deliver(w *waiter, g Granted) {
 	p.queue.remove(w)
 	p.waiting.Add(-1)
-	p.queueGrants++
 	w.ready <- g
 }
--- a/ranker/patience.go
+++ b/ranker/patience.go
@@ -11,6 +11,9 @@
 	// lowerQuantile the share of calls that are below it.
 	quantileStep  = 0.02
 	lowerQuantile = 0.05
+	// repeatMargin is by which share of the mean a timeout has to be below the lower quantile
+	// to be that of a repeat.
+	repeatMargin = 0.05
 )
 
 // Patience is what is known of the timeouts that callers give the calls of a class. A
@@ -45,7 +48,8 @@
 // Elapsed returns how long the caller of a call with the timeout is expected to have been
 // waiting already, or 0 if the timeout is a usual one.
 func (p Patience) Elapsed(timeout time.Duration) time.Duration {
-	if p.samples < minSamples || timeout <= 0 || timeout >= p.lower {
+	shortest := p.lower - time.Duration(repeatMargin*float64(p.mean))
+	if p.samples < minSamples || timeout <= 0 || timeout >= shortest {
 		return 0
 	}
 	return max(p.mean-timeout, 0)
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -22,6 +22,12 @@
 	maxPriority = 8
 	// lateWeight is the weight of a call that cannot meet its target any more.
 	lateWeight = 1.0 / 8
+	// lookAhead times the mean work is how much sooner a call has to start to go before one
+	// of e times its weight. The longer it is, the less the calls that have waited for long
+	// take from those that are worth more.
+	lookAhead = 3
+	// precedence is how far the calls of a starved kind are ranked before others.
+	precedence = time.Minute
 	// maxLead bounds how far the calls of a tenant that has been served more than its
 	// share are ranked behind those of others.
 	maxLead = time.Second
@@ -39,6 +45,7 @@
 	untilDeadline time.Duration
 	work          time.Duration
 	lead          time.Duration
+	starved       bool
 }
 
 // NewCall returns a call that is expected to occupy a worker for the given work. Priority
@@ -54,6 +61,12 @@
 	return c
 }
 
+// AsStarved returns c as a call of a kind that is served far less often than others.
+func (c Call) AsStarved() Call {
+	c.starved = true
+	return c
+}
+
 // Priority returns the priority of the call; 0 is the highest.
 func (c Call) Priority() int { return c.priority }
 
@@ -80,33 +93,22 @@
 
 // Rank is the place of a call in the order: calls with lower ranks are served first. Ranks
 // of one service at different moments can be compared.
-type Rank struct {
-	weighted time.Duration
-	urgency  time.Duration
-}
+type Rank time.Duration
 
 // RankAt returns the place of c in the order. now is the time since a fixed moment, and
-// scale the mean work of the service's calls: to be ahead by so much of it is worth as
-// much as a weight e times as high.
-func (c Call) RankAt(now, scale time.Duration) Rank {
-	urgency := now + c.usefulWait() + c.lead
-	cost := float64(c.priority)*priorityCost + math.Log(float64(c.work)/float64(max(scale, 1)))
+// meanWork the mean work of the service's calls.
+func (c Call) RankAt(now, meanWork time.Duration) Rank {
+	meanWork = max(meanWork, 1)
+	cost := float64(c.priority)*priorityCost + math.Log(float64(c.work)/float64(meanWork))
 	if c.IsLate() {
 		cost += lateCost
 	}
-	return Rank{weighted: urgency + time.Duration(cost*float64(scale)), urgency: urgency}
+	start := now + c.usefulWait() + c.lead
+	if c.starved {
+		start -= precedence
+	}
+	return Rank(start + time.Duration(lookAhead*cost*float64(meanWork)))
 }
 
 // Before reports whether a call with rank r is served before one with rank other.
-func (r Rank) Before(other Rank) bool { return r.weighted < other.weighted }
-
-// MoreUrgent reports whether a call with rank r has to start before one with rank other,
-// whatever their priorities and work.
-func (r Rank) MoreUrgent(other Rank) bool { return r.urgency < other.urgency }
-
-// urgentTurn is how many grants out of which one goes to the most urgent call: so no kind
-// of call starves behind those of higher priority.
-const urgentTurn = 4
-
-// IsUrgentTurn reports whether the grant with the number goes to the most urgent call.
-func IsUrgentTurn(number uint64) bool { return number%urgentTurn == 0 }
+func (r Rank) Before(other Rank) bool { return r < other }
--- a/ranker/verdict.go
+++ b/ranker/verdict.go
@@ -35,11 +35,11 @@
 type Verdict interface{ verdict() }
 
 // Wait says that the call may wait for a slot until it can't meet its target any more.
-type Wait struct{ limit time.Duration }
+type Wait struct{}
 
 // WaitBriefly says that the call can't meet its target, and may wait a little for a slot
 // that no other call needs.
-type WaitBriefly struct{ limit time.Duration }
+type WaitBriefly struct{}
 
 // Refuse says that the call can't be served in time.
 type Refuse struct{}
@@ -48,25 +48,19 @@
 func (WaitBriefly) verdict() {}
 func (Refuse) verdict()      {}
 
-// Limit returns how long the call may wait.
-func (w Wait) Limit() time.Duration { return w.limit }
-
-// Limit returns how long the call may wait.
-func (w WaitBriefly) Limit() time.Duration { return w.limit }
-
-// Decide returns the verdict for a call with the given target. A call that can meet its
+// Decide returns the verdict for a call. How long it may wait is MaxWait. A call that can meet its
 // target but is not expected to get a slot by then is refused at once: it would only
 // return later to the same queue.
-func Decide(c Call, target time.Duration, r Room) Verdict {
+func Decide(c Call, r Room) Verdict {
 	switch {
 	case c.IsHopeless():
 		return Refuse{}
 	case c.IsLate():
-		return WaitBriefly{limit: c.MaxWait(target)}
+		return WaitBriefly{}
 	case r.Wait() > c.usefulWait():
 		return Refuse{}
 	}
-	return Wait{limit: c.MaxWait(target)}
+	return Wait{}
 }
 
 // MaxWait returns how long a call with the given target waits for a slot at most.
