--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -20,6 +20,9 @@
 // on their priorities and work and on the shares of their tenants.
 func (p *Pool) SetRanksCalls(ranks bool) { p.ranksCalls.Store(ranks) }
 
+// RanksCalls reports whether the queue is ordered by the rank of the calls.
+func (p *Pool) RanksCalls() bool { return p.ranksCalls.Load() }
+
 // rank gives the call its place in the queue and returns how long it may wait, or why it
 // must not. The caller holds the mutex.
 func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeout)
-		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() {
+		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() && !p.RanksCalls() {
 			return assignment
 		}
 	}
