--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -49,6 +49,9 @@
 	unlimited float64 // Weight of a tenant without a rate limit.
 }
 
+// Tenants returns the number of tenants that have a clock of their own.
+func (s *Shares) Tenants() int { return int(s.count.Load()) }
+
 // Lead returns by how much the tenant has been given more than its share, up to a second.
 func (s *Shares) Lead(t *descriptor.Tenant, now time.Duration) time.Duration {
 	if t == nil {
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -116,7 +116,10 @@
 		r.granted.waited = time.Since(arrival)
 		return r.granted
 	case Rejected:
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter}
+		return Refused{
+			reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter,
+			summary: CandidateSummary{ranking: p.rankingElsewhere(&req, r.retryAfter)},
+		}
 	case OverLimit:
 		return Refused{reason: ReasonOverLimit, waited: time.Since(arrival), retryAfter: r.retryAfter}
 	case Undecided:
--- a/limiter/candidate_summary.go
+++ b/limiter/candidate_summary.go
@@ -16,6 +16,7 @@
 	inFlight        int32
 	chosen          picker.Load // Known load of the chosen worker, if it reports any.
 	expectedLatency time.Duration
+	ranking         rankingSummary
 }
 
 // ExpectedLatency returns the latency expected of the call, or 0 if unknown.
@@ -29,15 +30,15 @@
 	if s.total != 0 || s.expectedLatency == 0 { // Otherwise another instance chose the worker.
 		b = s.appendCounts(b)
 	}
-	if s.expectedLatency == 0 {
-		return string(b)
+	if s.expectedLatency != 0 {
+		if len(b) > 0 {
+			b = append(b, ' ')
+		}
+		b = s.chosen.AppendText(b)
+		b = append(b, " expected="...)
+		b = append(b, s.expectedLatency.Round(time.Millisecond).String()...)
 	}
-	if len(b) > 0 {
-		b = append(b, ' ')
-	}
-	b = s.chosen.AppendText(b)
-	b = append(b, " expected="...)
-	return string(append(b, s.expectedLatency.Round(time.Millisecond).String()...))
+	return string(s.ranking.append(b))
 }
 
 func (s CandidateSummary) appendCounts(b []byte) []byte {
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -20,6 +20,7 @@
 	queued      bool
 	sequence    uint64
 	rank        ranker.Rank // In a pool that ranks calls.
+	ranking     rankingSummary
 }
 
 // queue orders queued calls by virtual deadline: the virtual arrival time plus
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -17,8 +17,9 @@
 )
 
 // SetRanksCalls sets whether the queue is ordered by the rank of the calls, which depends
-// on their priorities and work and on the shares of their tenants.
-func (p *Pool) SetRanksCalls(ranks bool) { p.ranksCalls.Store(ranks) }
+// on their priorities and work and on the shares of their tenants. Only a pool whose
+// workers report their load ranks calls.
+func (p *Pool) SetRanksCalls(ranks bool) { p.ranksCalls.Store(ranks && p.usesReportedLoad()) }
 
 // RanksCalls reports whether the queue is ordered by the rank of the calls.
 func (p *Pool) RanksCalls() bool { return p.ranksCalls.Load() }
@@ -28,7 +29,14 @@
 func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
 	call := p.rankable(&w.req)
 	w.rank = call.RankAt(p.Now(), p.observeWork(call.Work()))
-	switch ranker.Decide(call, p.room(w)).(type) {
+	room := p.room(w)
+	verdict := ranker.Decide(call, room)
+	w.ranking = rankingSummary{
+		call: call, untilTarget: time.Until(w.req.targetDeadline),
+		ahead: room.Ahead(), wait: room.Wait(), verdict: verdictText(verdict),
+	}
+	countVerdict(call.Priority(), w.ranking.verdict)
+	switch verdict.(type) {
 	case ranker.Wait, ranker.WaitBriefly:
 		return call.MaxWait(w.req.target), ""
 	case ranker.Refuse:
@@ -45,6 +53,18 @@
 	return p.rankable(&req).MaxWait(req.target)
 }
 
+// rankingElsewhere summarizes the ranking of a call that another instance refused, which
+// expects to have room after the wait.
+func (p *Pool) rankingElsewhere(req *Request, wait time.Duration) rankingSummary {
+	if !p.ranksCalls.Load() {
+		return rankingSummary{}
+	}
+	return rankingSummary{
+		call: p.rankable(req), untilTarget: time.Until(req.targetDeadline),
+		ahead: -1, wait: wait, verdict: verdictRefuse,
+	}
+}
+
 // rankable returns what the rank of the call depends on.
 func (p *Pool) rankable(req *Request) ranker.Call {
 	call := ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target)).
@@ -73,12 +93,6 @@
 	p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
 }
 
-// congestedLatency returns the latency of a call at a worker at normal speed that is
-// congested, as all are while calls wait.
-func (p *Pool) congestedLatency(target time.Duration) time.Duration {
-	return time.Duration(float64(p.BaseLatency(target)) * float64(p.congestionFactor.Load()) / perThousand)
-}
-
 // observeWork updates the moving average of the calls' work and returns it.
 func (p *Pool) observeWork(work time.Duration) time.Duration {
 	old := p.meanWork.Load()
@@ -100,6 +114,12 @@
 	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())/max(p.effectiveSlots(), 1)))
 }
 
+// congestedLatency returns the latency of a call at a worker at normal speed that is
+// congested, as all are while calls wait.
+func (p *Pool) congestedLatency(target time.Duration) time.Duration {
+	return time.Duration(float64(p.BaseLatency(target)) * float64(p.congestionFactor.Load()) / perThousand)
+}
+
 // effectiveSlots returns the number of slots in the instance's region, where a slot of a
 // worker that takes twice as long counts as half a slot.
 func (p *Pool) effectiveSlots() float64 {
--- /dev/null
+++ b/limiter/ranking_test.go
@@ -0,0 +1,151 @@
+package limiter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"burdocklane/descriptor"
+	"burdocklane/limiter"
+	"burdocklane/tracker"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// longTarget leaves time for a call to wait in a test.
+const longTarget = 20 * time.Second
+
+// newRankingPool returns a pool of one worker with three slots, all taken, that ranks
+// calls.
+func newRankingPool() *limiter.Pool {
+	p := newReportingPool(1)
+	p.SetRanksCalls(true)
+	reportAll(p, 3, 1)
+	return p
+}
+
+func newRankedRequest(target, left time.Duration, opts ...limiter.RequestOption) limiter.Request {
+	now := time.Now()
+	return limiter.NewRequest(target, now.Add(4*target), opts...).WithTargetDeadline(now.Add(left)).LocalOnly()
+}
+
+// queueInOrder queues the requests one after the other and returns the channel on which
+// the index of each is sent that gets the slot.
+func queueInOrder(c *qt.C, p *limiter.Pool, requests []limiter.Request) <-chan int {
+	served := make(chan int, len(requests))
+	for i, request := range requests {
+		go func() {
+			if granted, ok := p.WaitForCapacity(context.Background(), request).(limiter.Granted); ok {
+				served <- i
+				granted.Release()
+			}
+		}()
+		awaitQueued(c, p, i+1)
+	}
+	return served
+}
+
+func awaitQueued(c *qt.C, p *limiter.Pool, calls int) {
+	deadline := time.Now().Add(10 * time.Second)
+	for p.Waiting() < calls {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("waited for %d queued calls, %d are", calls, p.Waiting()))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Load: calls wait for the one slot that is free, which one of them gets.
+func TestRankedQueue(t *testing.T) {
+	hot, calm := descriptor.NewTenant("hot"), descriptor.NewTenant("calm")
+	tests := []struct {
+		name     string
+		requests []limiter.Request
+		want     int
+	}{
+		{"the higher priority, though it came later", []limiter.Request{
+			newRankedRequest(longTarget, longTarget, limiter.WithPriority(2)),
+			newRankedRequest(longTarget, longTarget, limiter.WithPriority(0)),
+		}, 1},
+		{"the one that came first, of equals", []limiter.Request{
+			newRankedRequest(longTarget, longTarget), newRankedRequest(longTarget, longTarget),
+		}, 0},
+		{"the one with less time", []limiter.Request{
+			newRankedRequest(longTarget, longTarget), newRankedRequest(longTarget, longTarget*4/5),
+		}, 1},
+		{"the one that can still be on time", []limiter.Request{
+			newRankedRequest(longTarget/5, time.Millisecond), newRankedRequest(longTarget, longTarget),
+		}, 1},
+		{"the one of a tenant within its share", []limiter.Request{
+			newRankedRequest(longTarget, longTarget, limiter.WithTenant(&hot, true)),
+			newRankedRequest(longTarget, longTarget, limiter.WithTenant(&calm, true)),
+		}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newReportingPool(1)
+			p.SetRanksCalls(true)
+			reportAll(p, 0, 1)
+			for range 2 { // Gives the hot tenant all that is given.
+				granted, ok := p.Acquire(context.Background(), newRankedRequest(longTarget, longTarget, limiter.WithTenant(&hot, true))).(limiter.Granted)
+				c.Assert(ok, qt.IsTrue)
+				granted.Release()
+			}
+			p.Acquire(context.Background(), newRankedRequest(longTarget, longTarget, limiter.WithTenant(&calm, true)))
+			reportAll(p, 3, 1)
+			served := queueInOrder(c, p, test.requests)
+			reportAll(p, 2, 1)
+			c.Assert(<-served, qt.Equals, test.want)
+			reportAll(p, 0, 1)
+			<-served
+		})
+	}
+}
+
+// Load: more calls than get a slot in time. The next one must be refused at once, with a
+// time to come back, and not wait for its target to pass.
+func TestNoRoomIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := newRankingPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	var calls sync.WaitGroup
+	const count = 12
+	done := make(chan limiter.Admission, count)
+	for range count {
+		calls.Go(func() { done <- p.WaitForCapacity(ctx, newRankedRequest(longTarget, longTarget)) })
+	}
+	refused := (<-done).(limiter.Refused)
+	c.Assert(refused.Reason(), qt.Equals, limiter.ReasonNoRoom)
+	c.Assert(refused.RetryAfter() > 0, qt.IsTrue)
+	c.Assert(refused.CandidateSummary().String(), qt.Contains, "verdict=refuse")
+	c.Assert(p.Waiting() > 0, qt.IsTrue)
+	cancel()
+	calls.Wait()
+	c.Assert(p.Waiting(), qt.Equals, 0)
+}
+
+// Load: only a slow worker has a free slot. The call that has no time for it must not keep
+// the slot from one that has.
+func TestCallWithoutTimeForASlowWorkerIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	p := newRankingPool()
+	served := queueInOrder(c, p, []limiter.Request{
+		newRankedRequest(longTarget, longTarget*9/10, limiter.WithPriority(0)),
+		newRankedRequest(longTarget, 10*longTarget, limiter.WithPriority(2)),
+	})
+	p.RecordReport(p.Workers()[0], tracker.NewReport(2, 0, 3, 6, p.Now()))
+	c.Assert(<-served, qt.Equals, 1)
+}
+
+// A pool whose classes don't differ in priority, and that has no tenants, keeps to the short
+// wait.
+func TestRanksAreOptional(t *testing.T) {
+	c := qt.New(t)
+	p := newReportingPool(1)
+	reportAll(p, 30, 1)
+	refused, ok := p.Acquire(context.Background(), newRequest()).(limiter.Refused)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(refused.Reason(), qt.Equals, limiter.ReasonOverload)
+	c.Assert(refused.RetryAfter(), qt.Equals, time.Duration(0))
+	c.Assert(p.MaxWait(newRequest()), qt.Equals, time.Duration(0))
+}
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -55,9 +55,9 @@
 	w := &waiter{req: req, arrival: arrival, ready: make(chan Granted, 1)}
 	limit, reason := p.enqueueForCapacity(w)
 	switch reason {
-	case "":
+	case "": // The call waits.
 	case ReasonNoRoom:
-		return p.acquireUrgent(w, p.reportedLoadPolicy(&req).Uncongested(), arrival, summary)
+		return p.acquireUrgent(w, p.reportedLoadPolicy(&req).Uncongested(), ReasonNoRoom, arrival, summary)
 	default:
 		return Refused{reason: reason, summary: summary}
 	}
@@ -73,7 +73,7 @@
 		if !p.leaveQueue(w) {
 			return p.completeGrant(<-w.ready, arrival, summary)
 		}
-		return p.acquireUrgent(w, p.reportedLoadPolicy(&w.req), arrival, summary)
+		return p.acquireUrgent(w, p.reportedLoadPolicy(&w.req), ReasonOverload, arrival, summary)
 	}
 }
 
@@ -110,15 +110,17 @@
 }
 
 // acquireUrgent sends a call that must not wait for capacity any longer to a congested or
-// slow worker, or else to one that is about to stop and still serves, or refuses it.
-func (p *Pool) acquireUrgent(w *waiter, policy picker.ReportedLoad, arrival time.Time, summary CandidateSummary) Admission {
+// slow worker, or else to one that is about to stop and still serves, or refuses it for the
+// reason.
+func (p *Pool) acquireUrgent(w *waiter, policy picker.ReportedLoad, reason Reason, arrival time.Time, summary CandidateSummary) Admission {
 	worker, decision := p.pickAndAcquire(policy.Urgent(), &w.req, &summary)
 	if _, ok := decision.(picker.Send); !ok {
 		w.req.lastResort = true
 		worker, decision = p.pickAndAcquire(policy.Urgent(), &w.req, &summary)
 	}
 	if _, ok := decision.(picker.Send); !ok {
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: p.expectedWait(), summary: summary}
+		summary.ranking = w.ranking
+		return Refused{reason: reason, waited: time.Since(arrival), retryAfter: p.expectedWait(), summary: summary}
 	}
 	return p.completeGrant(Granted{pool: p, worker: worker, target: w.req.target, onBehalfOfPeer: w.req.onBehalfOfPeer}, arrival, summary)
 }
--- a/ranker/patience.go
+++ b/ranker/patience.go
@@ -13,7 +13,7 @@
 	lowerQuantile = 0.05
 	// repeatMargin is by which share of the mean a timeout has to be below the lower quantile
 	// to be that of a repeat.
-	repeatMargin = 0.05
+	repeatMargin = 0.03
 )
 
 // Patience is what is known of the timeouts that callers give the calls of a class. A
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -28,6 +28,9 @@
 	lookAhead = 3
 	// precedence is how far the calls of a starved kind are ranked before others.
 	precedence = time.Minute
+	// workMargin times the expected work is what a call is given to meet its target: some
+	// calls need more work than others.
+	workMargin = 1.3
 	// maxLead bounds how far the calls of a tenant that has been served more than its
 	// share are ranked behind those of others.
 	maxLead = time.Second
@@ -82,13 +85,14 @@
 // IsHopeless reports whether the call cannot be answered before its deadline any more.
 func (c Call) IsHopeless() bool { return c.untilDeadline < c.work }
 
-// usefulWait returns for how long the call may wait and still meet its target, or its
-// deadline if it cannot meet the target.
+// usefulWait returns for how long the call may wait and is still likely to meet its target,
+// or its deadline if it cannot meet the target.
 func (c Call) usefulWait() time.Duration {
+	until := c.untilTarget
 	if c.IsLate() {
-		return c.untilDeadline - c.work
+		until = c.untilDeadline
 	}
-	return c.untilTarget - c.work
+	return max(until-time.Duration(workMargin*float64(c.work)), 0)
 }
 
 // Rank is the place of a call in the order: calls with lower ranks are served first. Ranks
