--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -67,7 +67,7 @@
 
 // rankable returns what the rank of the call depends on.
 func (p *Pool) rankable(req *Request) ranker.Call {
-	call := ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.congestedLatency(req.target)).
+	call := ranker.NewCall(req.priority, time.Until(req.targetDeadline), time.Until(req.deadline), p.BaseLatency(req.target)).
 		WithLead(p.shares.Lead(req.tenant, p.Now()))
 	if p.kinds.IsStarved(req.kind()) {
 		return call.AsStarved()
@@ -111,14 +111,11 @@
 	if w != nil {
 		ahead = p.queue.position(w)
 	}
-	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())/max(p.effectiveSlots(), 1)))
+	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())*p.congestion()/max(p.effectiveSlots(), 1)))
 }
 
-// congestedLatency returns the latency of a call at a worker at normal speed that is
-// congested, as all are while calls wait.
-func (p *Pool) congestedLatency(target time.Duration) time.Duration {
-	return time.Duration(float64(p.BaseLatency(target)) * float64(p.congestionFactor.Load()) / perThousand)
-}
+// congestion returns how much slower congested workers are, as all are while calls wait.
+func (p *Pool) congestion() float64 { return float64(p.congestionFactor.Load()) / perThousand }
 
 // effectiveSlots returns the number of slots in the instance's region, where a slot of a
 // worker that takes twice as long counts as half a slot.
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -92,7 +92,7 @@
 	if c.IsLate() {
 		until = c.untilDeadline
 	}
-	return max(until-time.Duration(workMargin*float64(c.work)), 0)
+	return until - time.Duration(workMargin*float64(c.work))
 }
 
 // Rank is the place of a call in the order: calls with lower ranks are served first. Ranks
--- a/ranker/verdict.go
+++ b/ranker/verdict.go
@@ -65,10 +65,11 @@
 
 // MaxWait returns how long a call with the given target waits for a slot at most.
 func (c Call) MaxWait(target time.Duration) time.Duration {
+	wait := c.usefulWait()
 	if c.IsLate() {
-		return max(min(c.usefulWait(), LateWait(target)), 0)
+		wait = min(wait, LateWait(target))
 	}
-	return c.usefulWait()
+	return max(wait, 0)
 }
 
 // LateWait returns how long a call waits for capacity that can't meet its target.
