--- a/listener/dialect_test.go
+++ b/listener/dialect_test.go
@@ -235,6 +235,38 @@
 	c.Assert(left > 0 && left <= 50_000, qt.IsTrue)
 }
 
+// Load: workers that decline calls. The caller of a call that was declined although its
+// worker has free slots may come back at once; otherwise it must wait until there is room.
+func TestDeclinedCallerReturnsWhenThereIsRoom(t *testing.T) {
+	tests := []struct {
+		name   string
+		load   string
+		atOnce bool
+	}{
+		{"free slots", "2,0,6,100", true},
+		{"no free slot", "7,2,6,100", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			decline := func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				w.Header().Set("X-Not-Run", "1")
+				w.Header().Set("X-Load", test.load)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			address := startDialectListener(c, descriptor.AtMostOnce{}, decline, decline, decline)
+			response := sendRaw(c, address, "GET /a/1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+			c.Assert(response, qt.Contains, "503")
+			var seconds float64
+			_, line, _ := strings.Cut(response, "Retry-After: ")
+			_, err := fmt.Sscanf(line, "%f", &seconds)
+			c.Assert(err, qt.IsNil)
+			c.Assert(seconds < 0.01, qt.Equals, test.atOnce, qt.Commentf("%v s", seconds))
+		})
+	}
+}
+
 func TestRejectionsCarryRetryAfter(t *testing.T) {
 	c := qt.New(t)
 	address := startDialectListener(c, descriptor.AtMostOnce{}, func(w http.ResponseWriter, r *http.Request) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -249,3 +250,65 @@
 	}
 	return r
 }
+
+// Load: callers that leave while their calls are queued. A slot that is free later must not
+// be held for a call that was withdrawn.
+func TestWithdrawnCallLeavesTheQueue(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := qt.New(t)
+	r := newRegion(c, 2, 1)
+	for _, p := range r.pools {
+		p.SetRanksCalls(true)
+		p.RecordReport(p.Workers()[0], tracker.NewReport(3, 0, 3, 1, p.Now()))
+	}
+	now := time.Now()
+	request := limiter.NewRequest(time.Minute, now.Add(4*time.Minute)).WithTargetDeadline(now.Add(time.Minute))
+	ctx, cancel := context.WithCancel(context.Background())
+	var calls sync.WaitGroup
+	for n := range r.schedulers { // One of them asks the other.
+		calls.Go(func() { r.schedulers[n].Assign(ctx, r.pools[n], request) })
+	}
+	awaitWaiting(c, r, 2)
+	cancel()
+	calls.Wait()
+	awaitWaiting(c, r, 0)
+	for _, p := range r.pools {
+		p.RecordReport(p.Workers()[0], tracker.NewReport(0, 0, 3, 1, p.Now()))
+	}
+	c.Assert(r.held(), qt.Equals, int32(0))
+}
+
+// awaitWaiting waits until so many calls are queued.
+func awaitWaiting(c *qt.C, r *region, want int) {
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		waiting := 0
+		for _, p := range r.pools {
+			waiting += p.Waiting()
+		}
+		if waiting == want {
+			return
+		}
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d calls are queued, not %d", waiting, want))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Load: more calls than there is room for. A caller must be told when there is room, also by
+// an instance that is not the scheduler.
+func TestRejectionSaysWhenThereIsRoom(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := qt.New(t)
+	r := newRegion(c, 2, 1)
+	for _, p := range r.pools {
+		p.SetRanksCalls(true)
+		p.RecordReport(p.Workers()[0], tracker.NewReport(3, 0, 3, 1, p.Now()))
+	}
+	now := time.Now()
+	late := limiter.NewRequest(100*time.Millisecond, now.Add(time.Minute)).WithTargetDeadline(now)
+	for n := range r.schedulers {
+		rejected, ok := r.schedulers[n].Assign(context.Background(), r.pools[n], late).(limiter.Rejected)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(rejected.RetryAfter() > 0, qt.IsTrue)
+	}
+}
