--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -73,6 +73,16 @@
 			[]recorder.Decision{decision("x", 25, "refuse", "overload", recorder.WithTimes(25*time.Millisecond, 25*time.Millisecond))},
 			"rejected, not run: no worker of s had capacity to answer in time, after waiting 25.0 ms",
 		},
+		{
+			"no room for its rank",
+			[]recorder.Decision{decision("x", 25, "refuse", "no-room-in-time", recorder.WithCandidates(bytes.NewBufferString("total=3 priority=2 target-left=783ms ahead=40 verdict=refuse")))},
+			"s had no room in time, and was not expected to have before the target (total=3 priority=2 target-left=783ms ahead=40 verdict=refuse)",
+		},
+		{
+			"no room for its rank at another instance",
+			[]recorder.Decision{decision("x", 25, "refuse", "overload", recorder.WithCandidates(bytes.NewBufferString("total=0 priority=2 verdict=refuse")))},
+			"after waiting 0.0 ms (priority=2 verdict=refuse)",
+		},
 		{
 			"a lost response",
 			[]recorder.Decision{send, decision("x", 90, "unknown", "attempt-lost", recorder.WithAttempt(1, "w1"), recorder.WithError(errors.New("EOF")), took(90))},
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -123,7 +123,13 @@
 func rejectionReason(f lineFields) string {
 	switch f.Reason {
 	case "overload", "queue-full":
-		return fmt.Sprintf("no worker of %s had capacity to answer in time, after waiting %.1f ms", f.Service, f.WaitedMs)
+		reason := fmt.Sprintf("no worker of %s had capacity to answer in time, after waiting %.1f ms", f.Service, f.WaitedMs)
+		if _, ranking, ranked := strings.Cut(f.Candidates, "priority="); ranked {
+			reason += " (priority=" + ranking + ")"
+		}
+		return reason
+	case "no-room-in-time":
+		return fmt.Sprintf("%s had no room in time, and was not expected to have before the target (%s)", f.Service, f.Candidates)
 	case "no-worker":
 		return fmt.Sprintf("no usable worker of %s (%s)", f.Service, f.Candidates)
 	case "instance-stops":
