--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"burdocklane/apportioner"
+	"burdocklane/sharer"
 	"burdocklane/budgeter"
 	"burdocklane/descriptor"
 	"burdocklane/drainer"
@@ -81,8 +81,8 @@
 
 	ranksCalls atomic.Bool  // The queue is ordered by rank.
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
-	shares     apportioner.Shares
-	kinds      apportioner.Kinds
+	shares     sharer.Shares
+	kinds      sharer.Kinds
 	patience   sync.Map     // Maps a class's target to its *patience.
 	refusedAt  atomic.Int64 // When a call was last refused.
 
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"burdocklane/apportioner"
+	"burdocklane/sharer"
 	"burdocklane/descriptor"
 	"burdocklane/registrar"
 )
@@ -162,7 +162,7 @@
 	return r
 }
 
-func (r *Request) kind() apportioner.Kind { return apportioner.NewKind(r.priority, r.target) }
+func (r *Request) kind() sharer.Kind { return sharer.NewKind(r.priority, r.target) }
 
 // pastTarget reports whether an answer can no longer meet the target.
 func (r *Request) pastTarget() bool { return time.Until(r.targetDeadline) <= 0 }
--- a/ranker/load_test.go
+++ b/ranker/load_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"burdocklane/apportioner"
+	"burdocklane/sharer"
 	"burdocklane/descriptor"
 	"burdocklane/ranker"
 )
@@ -68,8 +68,8 @@
 	coming   []*call         // Callers that return, in order of time.
 	results  map[string]*result
 	patience map[string]ranker.Patience
-	shares   apportioner.Shares
-	kinds    apportioner.Kinds
+	shares   sharer.Shares
+	kinds    sharer.Kinds
 	meanWork time.Duration
 	arrivals int
 }
@@ -137,7 +137,7 @@
 	}
 	ranked := ranker.NewCall(c.kind.priority, c.kind.target-used, c.timeout, c.kind.work).
 		WithLead(p.shares.Lead(c.kind.tenant, p.now))
-	kind := apportioner.NewKind(c.kind.priority, c.kind.target)
+	kind := sharer.NewKind(c.kind.priority, c.kind.target)
 	if used == 0 {
 		p.kinds.Ask(kind, p.now)
 	}
@@ -202,7 +202,7 @@
 		c := p.waiting[0]
 		p.waiting = p.waiting[1:]
 		p.busy[i] = p.now + time.Duration((0.7+0.6*p.rng.Float64())*float64(c.kind.work))
-		p.kinds.Serve(apportioner.NewKind(c.kind.priority, c.kind.target))
+		p.kinds.Serve(sharer.NewKind(c.kind.priority, c.kind.target))
 		p.shares.Charge(c.kind.tenant, c.kind.work, slots, p.now)
 		p.answer(c, p.busy[i])
 	}
--- a/apportioner/kinds.go
+++ b/sharer/kinds.go
@@ -1,4 +1,4 @@
-package apportioner
+package sharer
 
 import (
 	"sync"
--- a/apportioner/apportioner.go
+++ b/sharer/sharer.go
@@ -1,11 +1,11 @@
-// Package apportioner tracks how much of the room of a service each tenant has been given
+// Package sharer tracks how much of the room of a service each tenant has been given
 // lately, compared with its share. It has no clock: times are passed to it.
 //
 // Each tenant has a virtual clock, which advances by the room that the tenant is given, as
 // measured by its share (Zhang, "Virtual Clock", 1990). The lead of that clock over the
 // real time is what the tenant has been given beyond its share. Room that no other tenant
 // asks for is not held back.
-package apportioner
+package sharer
 
 import (
 	"math"
--- a/apportioner/apportioner_test.go
+++ b/sharer/sharer_test.go
@@ -1,11 +1,11 @@
-package apportioner_test
+package sharer_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
-	"burdocklane/apportioner"
+	"burdocklane/sharer"
 	"burdocklane/descriptor"
 
 	qt "github.com/frankban/quicktest"
@@ -40,7 +40,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var shares apportioner.Shares
+			var shares sharer.Shares
 			const seconds = 3
 			for now := time.Duration(0); now < seconds*time.Second; now += 10 * time.Millisecond {
 				tick := int(now / (10 * time.Millisecond))
@@ -71,7 +71,7 @@
 // tenants that are never forgotten.
 func TestLeadIsBoundedAndFades(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var shares apportioner.Shares
+		var shares sharer.Shares
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 3000).Draw(t, "calls") {
 			d := descriptor.NewTenant(descriptor.TenantName(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "tenant"))))
@@ -91,7 +91,7 @@
 // first have gone they get their own.
 func TestTenantsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	var shares apportioner.Shares
+	var shares sharer.Shares
 	charge := func(first, last int, now time.Duration) {
 		for n := first; n < last; n++ {
 			d := descriptor.NewTenant(descriptor.TenantName(fmt.Sprint(n)))
@@ -107,7 +107,7 @@
 
 // Load: a kind of call that is hardly served while others are.
 func TestStarvedKinds(t *testing.T) {
-	kind, other := apportioner.NewKind(2, time.Second), apportioner.NewKind(0, time.Second)
+	kind, other := sharer.NewKind(2, time.Second), sharer.NewKind(0, time.Second)
 	tests := []struct {
 		name                 string
 		asked, served        int
@@ -123,8 +123,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			var kinds apportioner.Kinds
-			record := func(k apportioner.Kind, asked, served int) {
+			var kinds sharer.Kinds
+			record := func(k sharer.Kind, asked, served int) {
 				for range asked {
 					kinds.Ask(k, 0)
 				}
