--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
 	"burdocklane/publisher"
+	"burdocklane/ranker"
 	"burdocklane/recorder"
 	"burdocklane/registrar"
 	"burdocklane/retrier"
@@ -163,7 +165,7 @@
 	c.admitted = true
 	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
 		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
-		limiter.WithConstraint(c.constraint), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
+		limiter.WithConstraint(c.constraint), limiter.WithPriority(c.call.Priority()), limiter.WithTimeout(c.call.Timeout()), limiter.WithTenant(c.call.Tenant(), isFirst)).
 		WithTargetDeadline(c.targetDeadline())
 }
 
@@ -236,6 +238,10 @@
 // between caller and instance.
 const networkAllowance = 15 * time.Millisecond
 
+// declinedReturn is when the caller of a call is told to come back that a worker declined
+// although it has free slots: another worker may take it now.
+const declinedReturn = 2 * time.Millisecond
+
 // minServerErrorStatus is the first HTTP status that counts as a server error.
 const minServerErrorStatus = 500
 
@@ -254,7 +260,11 @@
 	case retrier.Forwarded:
 		c.recordDecision("pass", retrier.ResultText(a.result), a, 0, took, a.granted.CandidateSummary())
 		_, declined := a.result.(retrier.Declined)
-		return Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
+		answered := Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
+		if declined && c.serviceState.Pool().HasRoom(a.granted.Worker()) {
+			answered.retryAfter = declinedReturn
+		}
+		return answered
 	case retrier.NotRun:
 		c.discard(a)
 		c.recordDecision("refuse", o.Reason(), a, 0, took, a.granted.CandidateSummary())
@@ -316,7 +326,17 @@
 		c.dispatcher.metrics.countOutcome(c.call, "over-limit")
 		return OverLimit{retryAfter: rejection.RetryAfter()}
 	}
-	return c.giveUpUntil(reason, rejection.RetryAfter())
+	return c.giveUpUntil(reason, c.returnAfter(rejection.RetryAfter()))
+}
+
+// returnAfter returns when the caller is told to come back, given the expected wait for a
+// slot, or 0 if that is unknown.
+func (c *activeCall) returnAfter(wait time.Duration) time.Duration {
+	if wait <= 0 {
+		return 0
+	}
+	left := max(c.call.Timeout()-time.Since(c.call.Arrival()), time.Until(c.call.Deadline()))
+	return ranker.ReturnAfter(wait, left, rand.Float64())
 }
 
 // giveUp ends the call without a response: as unknown if an attempt may have run,
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -71,6 +71,9 @@
 // served.
 func NewRejected(retryAfter time.Duration) Rejected { return Rejected{retryAfter: retryAfter} }
 
+// RetryAfter returns when the call may be served, or 0 if that is unknown.
+func (r Rejected) RetryAfter() time.Duration { return r.retryAfter }
+
 // NewOverLimit returns a rejection of a call beyond the rate limit of its tenant, which
 // admits calls again after retryAfter.
 func NewOverLimit(retryAfter time.Duration) OverLimit { return OverLimit{retryAfter: retryAfter} }
@@ -150,7 +153,10 @@
 		r.granted.waited = time.Since(arrival)
 		return r.granted
 	case Rejected:
-		return Refused{reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter}
+		return Refused{
+			reason: ReasonOverload, waited: time.Since(arrival), retryAfter: r.retryAfter,
+			summary: CandidateSummary{ranking: p.rankingElsewhere(&req, r.retryAfter)},
+		}
 	case OverLimit:
 		return Refused{reason: ReasonOverLimit, waited: time.Since(arrival), retryAfter: r.retryAfter}
 	case LimitUnknown:
@@ -184,7 +190,8 @@
 // and only carries the candidate summary.
 func (p *Pool) TryGrant(req Request) (Granted, picker.Decision) {
 	var summary CandidateSummary
-	if p.waiting.Load() > 0 && (!req.noWait || (req.hedge && req.pastTarget())) {
+	p.recordRequest(&req)
+	if p.waiting.Load() > 0 && (!req.noWait || (req.hedge && req.pastTarget())) && !p.mayOvertake(&req) {
 		return Granted{}, picker.Wait{}
 	}
 	granted, decision := p.pickAndAcquire(p.policyFor(&req), &req, &summary)
--- a/limiter/pick.go
+++ b/limiter/pick.go
@@ -49,6 +49,7 @@
 			worker.AddLent(1)
 		}
 		p.trackInFlight(1)
+		p.recordGrant(req, candidates[send.Index()], now)
 		return Granted{pool: p, worker: worker, target: req.target, onBehalfOfPeer: req.onBehalfOfPeer, hasColdCall: cold}, decision
 	}
 	return Granted{}, picker.Wait{}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -13,6 +13,7 @@
 	"burdocklane/drainer"
 	"burdocklane/picker"
 	"burdocklane/registrar"
+	"burdocklane/sharer"
 	"burdocklane/tracker"
 )
 
@@ -54,6 +55,7 @@
 	workers          []*tracker.Worker
 	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
+	localSlots       int
 	workersWithShare int // Workers at which the instance has a slot.
 	hasEvacuated     bool
 	holding          holding
@@ -79,6 +81,13 @@
 	meanInFlight      atomic.Int64 // Moving average of the calls in flight, in thousandths.
 	inFlight          atomic.Int32 // Calls in flight.
 
+	ranksCalls atomic.Bool  // The queue is ordered by rank.
+	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
+	shares     sharer.Shares
+	kinds      sharer.Kinds
+	patience   sync.Map     // Maps a class's target to its *patience.
+	refusedAt  atomic.Int64 // When a call was last refused.
+
 	mutex sync.Mutex // Guards queue; never held while a call runs.
 	queue *queue
 
@@ -196,6 +205,7 @@
 		next.workers = append(next.workers, w)
 		if w.Distance() < picker.RemoteDistance {
 			next.local = append(next.local, w)
+			next.localSlots += member.Slots()
 		}
 	}
 	p.workerSet.Store(next)
@@ -260,7 +270,7 @@
 	}
 	var summary CandidateSummary
 	if p.usesReportedLoad() {
-		return p.acquireAssigned(ctx, req, arrival)
+		return p.noteRefusal(p.acquireAssigned(ctx, p.aged(req), arrival))
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		granted, decision := p.pickAndAcquire(p.policy, &req, &summary)
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"burdocklane/descriptor"
+	"burdocklane/ranker"
 	"burdocklane/registrar"
+	"burdocklane/sharer"
 )
 
 // Reason says why a call was refused. A refused call has not run.
@@ -18,6 +20,8 @@
 	ReasonNoWorker  Reason = "no-worker"
 	ReasonQueueFull Reason = "queue-full"
 	ReasonOverload  Reason = "overload"
+	// ReasonNoRoom refuses a call that is not expected to get a slot in time.
+	ReasonNoRoom    Reason = "no-room-in-time"
 	ReasonDeadline  Reason = "deadline"
 	ReasonCancelled Reason = "cancelled"
 	// ReasonOverLimit refuses a call beyond the rate limit of its tenant.
@@ -47,6 +51,7 @@
 	lastResort     bool // Workers that are about to stop and still serve may be used too.
 	constraint     Constraint
 	priority       int
+	timeout        time.Duration      // Given by the caller, or 0.
 	tenant         *descriptor.Tenant // Or nil.
 	charged        bool
 }
@@ -71,6 +76,9 @@
 // WithPriority sets the priority of the call; 0 is the highest.
 func WithPriority(rank int) RequestOption { return func(r *Request) { r.priority = rank } }
 
+// WithTimeout sets how long the caller waits for an answer. Zero means that it is unknown.
+func WithTimeout(d time.Duration) RequestOption { return func(r *Request) { r.timeout = d } }
+
 // WithTenant sets the tenant of the call. If charged, the request counts against the
 // tenant's rate limit; only the first request of a call does.
 func WithTenant(t *descriptor.Tenant, charged bool) RequestOption {
@@ -130,10 +138,8 @@
 // TargetDeadline returns the time until which an answer meets the class's target.
 func (r Request) TargetDeadline() time.Time { return r.targetDeadline }
 
-// MaxWait returns how long the call may wait for a slot, or for a token of its tenant.
-func (r Request) MaxWait() time.Duration {
-	return min(time.Duration(capacityWaitShare*float64(r.target)), maxCapacityWait)
-}
+// TokenWait returns how long the call may wait for a token of its tenant.
+func (r Request) TokenWait() time.Duration { return ranker.LateWait(r.target) }
 
 // Deadline returns the time after which the call is abandoned.
 func (r Request) Deadline() time.Time { return r.deadline }
@@ -172,6 +178,8 @@
 	return r
 }
 
+func (r *Request) kind() sharer.Kind { return sharer.NewKind(r.priority, r.target) }
+
 // pastTarget reports whether an answer can no longer meet the target.
 func (r *Request) pastTarget() bool { return time.Until(r.targetDeadline) <= 0 }
 
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -112,6 +112,10 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if p.ranksCalls.Load() {
+		p.dispatchByRank()
+		return
+	}
 	var summary CandidateSummary
 	for {
 		head := p.queue.head()
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync"
@@ -146,7 +147,7 @@
 		return
 	}
 	if pool, found := h.findWorker(call, worker); found != nil {
-		pool.RecordReport(found, load.Report(pool.Now()))
+		pool.RecordReport(found, load.WithoutAnswered().Report(pool.Now()))
 	}
 }
 
@@ -194,7 +195,7 @@
 		return
 	}
 	if response.Header.Get("Retry-After") == "" {
-		h.dialect.setRetryAfter(response.Header, randomRetryAfter())
+		h.dialect.setRetryAfter(response.Header, cmp.Or(done.RetryAfter(), randomRetryAfter()))
 	}
 }
 
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -62,7 +62,7 @@
 		case reply := <-r.replies:
 			switch reply.Status {
 			case statusQueued:
-				timer.Reset(t.queued)
+				timer.Reset(max(t.queued, reply.retryAfter()+queuedMargin))
 				continue
 			case statusAssigned, statusAssignedCold:
 				return r.resolve(reply)
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -28,7 +28,7 @@
 	if r, ok := assignment.(limiter.Undecided); ok && !r.IsCharged() && request.Tenant().RateLimit().IsLimited() {
 		assignment = s.assignBySuccessor(ctx, p, request)
 	}
-	if r, ok := assignment.(limiter.LimitUnknown); ok && r.IsPending() && sleeper.Sleep(ctx, request.MaxWait()) {
+	if r, ok := assignment.(limiter.LimitUnknown); ok && r.IsPending() && sleeper.Sleep(ctx, request.TokenWait()) {
 		assignment = s.assign(ctx, p, request)
 	}
 	switch r := assignment.(type) {
@@ -131,23 +131,36 @@
 			releaseUnused(<-remote)
 			return limiter.NewHeldSlot(granted)
 		}
-		return <-remote
+		return assignedOr(<-remote, admission)
 	case assignment := <-remote:
 		assigned, ok := assignment.(limiter.Assigned)
 		if ok {
 			cancel()
 		}
-		if granted, ok := (<-local).(limiter.Granted); ok {
+		admission := <-local
+		if granted, ok := admission.(limiter.Granted); ok {
 			releaseUnused(assignment)
 			return limiter.NewHeldSlot(granted)
 		}
 		if ok {
 			return assigned
 		}
-		return limiter.Rejected{}
+		return assignedOr(assignment, admission)
 	}
 }
 
+// assignedOr returns the assignment of another region, or else a rejection that says when
+// the local region expects to have room.
+func assignedOr(remote limiter.Assignment, local limiter.Admission) limiter.Assignment {
+	if _, ok := remote.(limiter.Assigned); ok {
+		return remote
+	}
+	if refused, ok := local.(limiter.Refused); ok {
+		return limiter.NewRejected(refused.RetryAfter())
+	}
+	return limiter.Rejected{}
+}
+
 func releaseUnused(r limiter.Assignment) {
 	if assigned, ok := r.(limiter.Assigned); ok {
 		assigned.ReportOutcome(limiter.OutcomeNone)
@@ -167,7 +180,7 @@
 			continue
 		}
 		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeouts)
-		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() {
+		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() && !p.RanksCalls() {
 			return assignment
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 	replyTimeout = 20 * time.Millisecond
 	// queuedTimeout bounds the further wait after a reply that the call is queued.
 	queuedTimeout = 60 * time.Millisecond
+	// queuedMargin is how much longer than the longest wait for capacity the wait for the
+	// reply may last.
+	queuedMargin = 20 * time.Millisecond
 	// remoteTimeout and remoteQueuedTimeout are those of a scheduler of another region.
 	remoteTimeout       = 40 * time.Millisecond
 	remoteQueuedTimeout = queuedTimeout + remoteTimeout - replyTimeout
@@ -71,6 +74,7 @@
 	backoff    sync.Map // From instance ID to the time until which it gets no requests.
 	grants     sync.Map // From callID to *grant.
 	limits     *limits
+	queued     sync.Map // From callID to the context.CancelFunc that ends its wait.
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -209,18 +213,24 @@
 		s.grantSlot(m, service, limiter.NewHeldSlot(granted), charge, from)
 		return
 	case picker.Refuse:
-		s.reject(m, charge, from)
+		s.reject(m, charge, 0, from)
 		return
 	case picker.Wait:
 	}
 	if m.Flags.has(flagSpare) {
-		s.reject(m, charge, from)
+		s.reject(m, charge, 0, from)
 		return
 	}
-	s.send(assignmentReply{Kind: kindReply, Status: statusQueued, Call: m.Call}, from)
+	s.send(assignmentReply{
+		Kind: kindReply, Status: statusQueued, Call: m.Call,
+		RetryAfterMs: clampMilliseconds(service.pool.MaxWait(request)),
+	}, from)
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.queued.Store(m.Call, cancel)
 	s.goroutines.Go(func() {
+		defer s.forgetQueued(m.Call)
 		recoverer.Do(s.log, "queued assignment", func() { //nolint:errcheck // Logged.
-			s.grantSlot(m, service, s.awaitCapacity(s.ctx, service.pool, request), charge, from)
+			s.grantQueued(ctx, m, service, s.awaitCapacity(ctx, service.pool, request), charge, from)
 		})
 	})
 }
@@ -248,6 +258,29 @@
 	return charge, false
 }
 
+// grantQueued is grantSlot for a call that was queued, unless its requester has withdrawn
+// the request: the token of such a call is given back.
+func (s *Scheduler) grantQueued(ctx context.Context, m assignmentRequest, service *service, assignment limiter.Assignment, charge charger.Charged, to *net.UDPAddr) {
+	if ctx.Err() == nil {
+		s.grantSlot(m, service, assignment, charge, to)
+		return
+	}
+	s.limits.charger.Refund(charge)
+	switch r := assignment.(type) {
+	case limiter.HeldSlot:
+		r.Granted().Release()
+	case limiter.Assigned:
+		r.ReportOutcome(limiter.OutcomeNone)
+	}
+}
+
+// forgetQueued ends the wait of a queued call, if it still waits.
+func (s *Scheduler) forgetQueued(c callID) {
+	if cancel, ok := s.queued.LoadAndDelete(c); ok {
+		cancel.(context.CancelFunc)()
+	}
+}
+
 // grantSlot records the grant and replies with the worker, or rejects the request.
 func (s *Scheduler) grantSlot(m assignmentRequest, service *service, assignment limiter.Assignment, charge charger.Charged, to *net.UDPAddr) {
 	start := time.Now()
@@ -264,8 +297,11 @@
 	case limiter.Assigned:
 		g.worker, g.complete = r.Worker(), r.ReportOutcome
 		status = assignedStatus(r.HasColdCall())
+	case limiter.Rejected:
+		s.reject(m, charge, r.RetryAfter(), to)
+		return
 	default:
-		s.reject(m, charge, to)
+		s.reject(m, charge, 0, to)
 		return
 	}
 	s.grants.Store(m.Call, g)
@@ -283,16 +319,18 @@
 	return statusAssigned
 }
 
-// reject rejects the request for lack of capacity, and gives its token back.
-func (s *Scheduler) reject(m assignmentRequest, charge charger.Charged, to *net.UDPAddr) {
+// reject rejects the call for lack of capacity, and gives its token back. It may be served
+// after retryAfter, if that is known.
+func (s *Scheduler) reject(m assignmentRequest, charge charger.Charged, retryAfter time.Duration, to *net.UDPAddr) {
 	rejectedTotal.Inc()
 	s.limits.charger.Refund(charge)
-	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call}, to)
+	s.send(assignmentReply{Kind: kindReply, Status: statusRejected, Call: m.Call, RetryAfterMs: clampMilliseconds(retryAfter)}, to)
 }
 
 // handleCompletion releases the slot of a call and applies the outcome and the load
 // report of its worker.
 func (s *Scheduler) handleCompletion(m completion) {
+	s.forgetQueued(m.Call)
 	if found, ok := s.grants.Load(m.Call); ok {
 		g := found.(*grant)
 		m.Load.apply(g.pool, g.worker)
