Bound the idle connections to all workers together

Cause: 64 idle connections for each worker are more than a machine of 3,900 sockets has with 61 workers.

Change: sender.WithMaxIdle, and a count of all stacks.

--- a/sender/pool.go
+++ b/sender/pool.go
@@ -10,8 +10,9 @@
 // Parallelism", 1986). Each push allocates a new node, so that garbage
 // collection rules out the ABA problem.
 type connStack struct {
-	head atomic.Pointer[node]
-	size atomic.Int32
+	head  atomic.Pointer[node]
+	size  atomic.Int32
+	total *atomic.Int64 // The connections of all stacks.
 }
 
 type node struct {
@@ -25,6 +26,7 @@
 		n.next = s.head.Load()
 		if s.head.CompareAndSwap(n.next, n) {
 			s.size.Add(1)
+			s.total.Add(1)
 			return
 		}
 	}
@@ -38,6 +40,7 @@
 		}
 		if s.head.CompareAndSwap(top, top.next) {
 			s.size.Add(-1)
+			s.total.Add(-1)
 			return top.conn
 		}
 	}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -81,6 +81,8 @@
 	sourceIP       string
 	maxBuffered    int64
 	echoHeader     string
+	maxIdle        int64
+	idleCount      atomic.Int64
 }
 
 // Option sets one property of a Sender.
@@ -104,6 +106,10 @@
 // truncated one counts as Lost.
 func WithResponseBuffer(maxBytes int64) Option { return func(s *Sender) { s.maxBuffered = maxBytes } }
 
+// WithMaxIdle sets how many idle connections to all workers together are kept; 0 stands for
+// no limit.
+func WithMaxIdle(connections int64) Option { return func(s *Sender) { s.maxIdle = connections } }
+
 // WithEchoHeader names a header that workers copy from a request to its response. A
 // response with a different value belongs to an earlier request and is skipped, and
 // so is one without a value, except on a new connection.
@@ -150,7 +156,7 @@
 	if conns, ok := s.idle.Load(address); ok {
 		return conns.(*connStack)
 	}
-	conns, _ := s.idle.LoadOrStore(address, &connStack{})
+	conns, _ := s.idle.LoadOrStore(address, &connStack{total: &s.idleCount})
 	return conns.(*connStack)
 }
 
@@ -219,7 +225,8 @@
 // release returns a connection to the pool, or closes it if it cannot be reused.
 func (s *Sender) release(address string, c *conn, response *http.Response) {
 	idle := s.connStack(address).size.Load()
-	if response.Close || s.closed.Load() || c.aborted.Load() || c.reader.Buffered() > 0 || idle >= maxIdlePerWorker {
+	isFull := idle >= maxIdlePerWorker || (s.maxIdle > 0 && s.idleCount.Load() >= s.maxIdle)
+	if response.Close || s.closed.Load() || c.aborted.Load() || c.reader.Buffered() > 0 || isFull {
 		c.Close()
 		return
 	}
