Bound what callers hold of a process

Cause: a body's stated length was reserved before a byte had arrived, also without a route; parsed fields cost many times their size; the connections were limited by a constant above the descriptors of the machine; a caller that stopped in a streamed body held the call beyond its deadline, up to the body timeout (the writer waited for the caller, and net/http's Close of the body for the rest), and the failure was held against the worker; the readiness and admin ports had a timeout for heads only.

Change: acceptor counts connections, heads as they are read (bytes and lines), bodies, calls and answers with the shedder, for HTTP/1.1 by connection and for HTTP/2 by stream. A body's buffer grows as bytes arrive. Without a configuration or a route no body is read: the answer closes the connection. A call that ends interrupts the read of its body; an attempt whose caller did not send the rest is not reported to the pool. HTTP/2: 32 streams and windows of 64 KB. Each write has a deadline. Readiness and admin port: limits of their own, timeouts for bodies, writes and idle connections. serve takes the machine's memory from limits.memory-bytes, GOMEMLIMIT or the machine.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/acceptor"
 	"burdocklane/asserter"
 	"burdocklane/dispatcher"
 	"burdocklane/drainer"
@@ -32,6 +33,7 @@
 	"burdocklane/relayer"
 	"burdocklane/scheduler"
 	"burdocklane/sender"
+	"burdocklane/shedder"
 	"burdocklane/storer"
 	"burdocklane/verifier"
 
@@ -72,7 +74,6 @@
 	// firstConfigurationTimeout is how long the opening of the callers' port waits
 	// for the first configuration.
 	firstConfigurationTimeout = time.Second
-	readinessHeaderTimeout    = 5 * time.Second
 	recentDecisions           = 256
 	decisionBuffer            = 1024
 	// relayTimeoutRatio is the fraction of the time for propagating a change within
@@ -112,10 +113,13 @@
 	applying     sync.Mutex // Serializes configurations of the follower and the fetcher.
 	gossiper     *gossiper.Gossiper
 	scheduler    atomic.Pointer[scheduler.Scheduler]
-	readiness    *http.Server
-	serving      sync.WaitGroup
-	hasList      atomic.Bool
-	stopping     atomic.Bool
+	readiness    *acceptor.CheckServer
+	// callerShedder and checkShedder bound what callers and readiness checks hold.
+	callerShedder *shedder.Shedder
+	checkShedder  *shedder.Shedder
+	serving       sync.WaitGroup
+	hasList       atomic.Bool
+	stopping      atomic.Bool
 }
 
 // New starts an instance that writes its log to the output.
@@ -158,6 +162,7 @@
 	p.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
 		sender.WithIdleTimeout(upstreamIdleTimeout),
+		sender.WithMaxIdle(shedder.MaxIdleWorkerConnections(p.settings.MaxSockets())),
 		sender.WithResponseBuffer(bufferedResponseBytes),
 		sender.WithEchoHeader(adapter.HeaderRequestID))
 	p.checker = healthchecker.New(p.sender, adapter.HeaderWorkerID, adapter.HeaderLoad, healthchecker.WithLeavingHeader(adapter.HeaderLeaving))
@@ -223,9 +228,16 @@
 		parser.WithDrainTimeout(p.settings.GracePeriod()-drainDelay-shutdownMargin))
 	p.handler = listener.NewHandler(p.dispatcher, p.publisher, p.sender, p.asserter, limits, listener.WithDialect(adapter.Dialect()))
 	var err error
-	if p.listener, err = listener.New(p.settings.Callers(), p.handler, limits, listener.WithInFlight(p.dispatcher.InFlight)); err != nil {
+	p.callerShedder = shedder.New(shedder.CallerLimits(p.settings.MemoryBytes(), 0, p.settings.MaxSockets()), shedder.WithLog(p.log, "callers"))
+	if p.listener, err = listener.New(p.settings.Callers(), p.handler, limits,
+		listener.WithInFlight(p.dispatcher.InFlight), listener.WithShedder(p.callerShedder)); err != nil {
 		return err
 	}
+	return p.serveChecks()
+}
+
+// serveChecks starts the server for readiness checks and metrics.
+func (p *Process) serveChecks() error {
 	socket, err := net.Listen("tcp", p.settings.Ready())
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
@@ -233,7 +245,8 @@
 	router := mux.NewRouter()
 	router.HandleFunc(adapter.ReadyPath, p.handleReady).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	p.readiness = &http.Server{Handler: router, ReadHeaderTimeout: readinessHeaderTimeout}
+	p.checkShedder = shedder.New(shedder.CheckLimits(p.settings.MemoryBytes(), p.settings.MaxSockets()), shedder.WithLog(p.log, "readiness"))
+	p.readiness = acceptor.NewCheckServer(router, p.checkShedder)
 	p.serving.Go(func() {
 		p.readiness.Serve(socket) //nolint:errcheck // Always ErrServerClosed.
 	})
@@ -318,6 +331,10 @@
 	if p.readiness != nil {
 		p.readiness.Close()
 		p.serving.Wait()
+		p.checkShedder.Close()
+	}
+	if p.callerShedder != nil {
+		p.callerShedder.Close()
 	}
 	p.closeStore()
 	p.recorder.Close()
--- a/classifier/index.go
+++ b/classifier/index.go
@@ -126,12 +126,25 @@
 // Classify returns the call for the request, or [Unmatched]. Routes for the request's
 // host take precedence over classes that match any host.
 func (x *Index) Classify(r Request, now time.Time) Result {
+	if e, ok := x.find(r); ok {
+		return Matched{call: newCall(r, e, now)}
+	}
+	return Unmatched{}
+}
+
+// Matches reports whether Classify returns a call for the request.
+func (x *Index) Matches(r Request) bool {
+	_, ok := x.find(r)
+	return ok
+}
+
+func (x *Index) find(r Request) (entry, bool) {
 	for _, host := range [...]string{normalizeHost(r.host), ""} {
 		if e, ok := longestMatch(x.hosts[host], r); ok {
-			return Matched{call: newCall(r, e, now)}
+			return e, true
 		}
 	}
-	return Unmatched{}
+	return entry{}, false
 }
 
 // normalizeHost returns the host in lower case without its port.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -207,8 +207,8 @@
 }
 
 // reportToPool counts the attempt and reports its result to the pool, which tracks
-// the worker's health and latency. Attempts that the caller cancelled are not
-// reported: they say nothing about the worker.
+// the worker's health and latency. Attempts that the caller cancelled, or whose body it did
+// not send, are not reported: they say nothing about the worker.
 func (c *activeCall) reportToPool(a *attempt) {
 	c.dispatcher.metrics.countAttempt(a.result)
 	if c.ctx.Err() != nil {
@@ -223,7 +223,9 @@
 	case retrier.Unsent:
 		pool.RecordUnreachable(a.granted)
 	case retrier.Lost:
-		pool.RecordFailure(a.granted)
+		if !result.IsCallerAtFault() {
+			pool.RecordFailure(a.granted)
+		}
 	}
 }
 
--- a/flooder/program_test.go
+++ b/flooder/program_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,6 +23,7 @@
 	"burdocklane/runner"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-faster/errors"
 )
 
 // envRunAs is the environment variable that makes the test binary run as one of the
@@ -214,5 +216,10 @@
 	if err != nil {
 		return 0, err
 	}
-	return response.StatusCode, response.Body.Close()
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(response.Body)
+		return response.StatusCode, errors.New(string(reason))
+	}
+	return response.StatusCode, nil
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -41,7 +41,12 @@
 	if int64(len(data)) <= limit {
 		return data, nil, nil
 	}
-	return nil, prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), body), Closer: body}, nil
+	return nil, Prepend(data, body), nil
+}
+
+// Prepend returns a stream of the data and then of the body.
+func Prepend(data []byte, body io.ReadCloser) io.ReadCloser {
+	return prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), body), Closer: body}
 }
 
 // prefixedBody reads the bytes that were already consumed and then the rest of the
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -11,12 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/acceptor"
 	"burdocklane/asserter"
 	"burdocklane/budgeter"
 	"burdocklane/dispatcher"
 	"burdocklane/publisher"
 	"burdocklane/recorder"
 	"burdocklane/registrar"
+	"burdocklane/shedder"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
@@ -25,8 +27,7 @@
 )
 
 const (
-	headerTimeout = 5 * time.Second
-	closeTimeout  = time.Second
+	closeTimeout = time.Second
 )
 
 // Sources holds the components whose state the admin port shows.
@@ -69,20 +70,20 @@
 // Server is the HTTP server of the admin port.
 type Server struct {
 	sources  Sources
-	server   *http.Server
+	server   *acceptor.CheckServer
 	listener net.Listener
 	leaving  atomic.Bool
 	done     sync.WaitGroup
 }
 
-// New starts the admin port on the address.
-func New(address string, sources Sources) (*Server, error) {
+// New starts the admin port on the address. The shedder bounds what its callers hold.
+func New(address string, sources Sources, callers *shedder.Shedder) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen on the admin port")
 	}
 	i := &Server{sources: sources, listener: listener}
-	i.server = &http.Server{Handler: i.routes(), ReadHeaderTimeout: headerTimeout}
+	i.server = acceptor.NewCheckServer(i.routes(), callers)
 	i.done.Go(func() { i.server.Serve(listener) }) //nolint:errcheck // Always ErrServerClosed.
 	return i, nil
 }
--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -45,17 +45,29 @@
 // transmit sends the request to the worker once. It implements
 // dispatcher.RoundTrip.
 func (x *exchange) transmit(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result {
+	if !x.body.replayable() {
+		stop := context.AfterFunc(ctx, x.body.source.Interrupt)
+		defer stop()
+	}
 	switch o := x.handler.sender.Send(ctx, x.workerRequest(call, worker)).(type) {
 	case sender.Responded:
 		return x.handleResponse(attempt, call, worker, o)
 	case sender.Unsent:
 		return retrier.NewUnsent(o.Err())
 	case sender.Lost:
-		return retrier.NewLost(o.Err())
+		return x.lost(o.Err())
 	}
 	return retrier.NewLost(nil)
 }
 
+// lost returns the result of an attempt without a response.
+func (x *exchange) lost(err error) retrier.Result {
+	if x.body.source.failed.Load() {
+		return retrier.NewLost(err).WithCallerAtFault()
+	}
+	return retrier.NewLost(err)
+}
+
 func (x *exchange) handleResponse(attempt int, call *classifier.Call, worker registrar.Worker, responded sender.Responded) retrier.Result {
 	dialect, response := x.handler.dialect, responded.Response()
 	if dialect.announcesLeaving(response) {
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"burdocklane/acceptor"
 	"burdocklane/asserter"
 	"burdocklane/classifier"
 	"burdocklane/dispatcher"
@@ -79,25 +80,55 @@
 		w.Header().Set("Connection", "close")
 	}
 	head := newHead(r, h.dialect)
+	held, hasRoom := acceptor.BeginRequest(w, r)
+	defer held.End()
+	if !hasRoom {
+		h.refuseUnread(w, r, head.ID(), http.StatusServiceUnavailable, reasonNoRoom)
+		flushStream(w, r)
+		return
+	}
+	h.answer(w, r, head, held)
+	flushStream(w, r)
+}
+
+// answer answers a request that there is room for.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, head classifier.Request, held *acceptor.Request) {
 	if status, reason := h.checkRequest(r); status != 0 {
-		w.Header().Set("Connection", "close")
-		h.writeError(w, head.ID(), status, outcomeNotRun, reason)
+		h.refuseUnread(w, r, head.ID(), status, reason)
 		return
 	}
-	body, err := readBody(r, h.limitBody(w, r), h.limits.MaxReplayBytes(), h.dialect.bufferChunks)
+	if r.ContentLength != 0 {
+		if result := h.dispatcher.Check(head); result != nil {
+			h.limitStream(w, r)
+			h.endUnread(w, r)
+			h.writeResultError(w, head.ID(), result)
+			return
+		}
+	}
+	body, err := readBody(r, h.limitBody(w, r, held), h.bodyLimits(held))
 	if err != nil {
-		w.Header().Set("Connection", "close")
-		h.writeError(w, head.ID(), http.StatusBadRequest, outcomeNotRun, "request-body")
+		h.refuseBody(w, r, head.ID(), err)
+		return
+	}
+	if !held.BeginCall(!body.replayable()) {
+		h.refuseUnread(w, r, head.ID(), http.StatusServiceUnavailable, reasonNoRoom)
 		return
 	}
 	x := &exchange{handler: h, request: r, id: head.ID(), body: body}
 	result := h.dispatcher.Dispatch(r.Context(), head, body.replayable(), x.transmit)
 	done, ok := result.(dispatcher.Answered)
 	if !ok {
+		held.BeginAnswer(0)
+		h.limitStream(w, r)
+		if !body.isRead() {
+			h.endUnread(w, r)
+		}
 		h.writeResultError(w, head.ID(), result)
 		return
 	}
-	h.forwardResponse(w, head.ID(), done, x.response(done.Attempt()))
+	response := x.response(done.Attempt())
+	held.BeginAnswer(answerBytes(response))
+	h.forwardResponse(w, head.ID(), done, response)
 }
 
 // checkRequest returns the status and the reason for rejecting an unsupported
@@ -114,12 +145,12 @@
 	return 0, ""
 }
 
-func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request) io.ReadCloser {
-	if r.ContentLength == 0 {
-		return r.Body
+func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request, held *acceptor.Request) *deadlineBody {
+	b := &deadlineBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: h.limits.BodyTimeout(), progress: held.Progress}
+	if r.ContentLength != 0 {
+		b.ReadCloser = http.MaxBytesReader(w, r.Body, h.limits.MaxBodyBytes())
 	}
-	limited := http.MaxBytesReader(w, r.Body, h.limits.MaxBodyBytes())
-	return &deadlineBody{ReadCloser: limited, control: http.NewResponseController(w), timeout: h.limits.BodyTimeout()}
+	return b
 }
 
 // recordAnnouncement records that a worker's response announced that it is about to stop.
@@ -233,7 +264,7 @@
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			return control.SetWriteDeadline(time.Time{})
+			return nil
 		}
 		if readErr != nil {
 			return readErr
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -7,10 +7,18 @@
 	"sync"
 	"time"
 
+	"burdocklane/acceptor"
 	"burdocklane/parser"
+	"burdocklane/shedder"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
+)
+
+const (
+	// maxStreams is how many requests a caller may have on one connection of HTTP/2.
+	maxStreams = 32
+	// http2WindowBytes is how much a connection of HTTP/2 may send that is not read yet.
+	http2WindowBytes = 64 << 10
 )
 
 // maxArrivalTime is how long a stop waits for the requests that have arrived to be read.
@@ -19,14 +27,15 @@
 // Listener accepts callers' connections over HTTP/1.1 and over unencrypted
 // HTTP/2 with prior knowledge.
 type Listener struct {
-	server         *http.Server
-	socket         *drainableSocket
-	arrivals       *arrivals
-	accepted       chan struct{} // Closed when no more connections are accepted.
-	serving        sync.WaitGroup
-	maxConnections int
-	drainTimeout   time.Duration
-	inFlight       func() int64
+	server       *http.Server
+	socket       *drainableSocket
+	arrivals     *arrivals
+	accepted     chan struct{} // Closed when no more connections are accepted.
+	serving      sync.WaitGroup
+	shedder      *shedder.Shedder
+	writeTimeout time.Duration
+	drainTimeout time.Duration
+	inFlight     func() int64
 }
 
 // Option sets one property of a Listener.
@@ -36,6 +45,10 @@
 // a connection that is still open when the drain timeout has passed counts as one.
 func WithInFlight(inFlight func() int64) Option { return func(l *Listener) { l.inFlight = inFlight } }
 
+// WithShedder sets the limits on what callers hold. By default only the number of
+// connections is limited.
+func WithShedder(s *shedder.Shedder) Option { return func(l *Listener) { l.shedder = s } }
+
 // New binds the address and starts to serve callers with the handler.
 func New(address string, handler http.Handler, limits parser.Limits, opts ...Option) (*Listener, error) {
 	l, err := newListener(address, handler, limits, opts...)
@@ -61,12 +74,13 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	l := &Listener{
-		socket:         &drainableSocket{TCPListener: socket, accepted: waiting.add},
-		arrivals:       waiting,
-		accepted:       make(chan struct{}),
-		maxConnections: limits.MaxConnections(),
-		drainTimeout:   limits.DrainTimeout(),
-		inFlight:       func() int64 { return 1 },
+		socket:       &drainableSocket{TCPListener: socket, accepted: waiting.add},
+		arrivals:     waiting,
+		accepted:     make(chan struct{}),
+		shedder:      shedder.New(shedder.NewLimits(0, int64(limits.MaxConnections()), 0)),
+		writeTimeout: limits.BodyTimeout(),
+		drainTimeout: limits.DrainTimeout(),
+		inFlight:     func() int64 { return 1 },
 		server: &http.Server{
 			Handler:           waiting.handler(handler),
 			ConnState:         waiting.observe,
@@ -74,8 +88,10 @@
 			ReadHeaderTimeout: limits.HeaderTimeout(),
 			IdleTimeout:       limits.IdleTimeout(),
 			MaxHeaderBytes:    limits.MaxHeaderBytes(),
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: http2WindowBytes},
 		},
 	}
+	acceptor.Install(l.server)
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -85,7 +101,7 @@
 func (l *Listener) serve() {
 	l.serving.Go(func() {
 		defer close(l.accepted)
-		l.server.Serve(netutil.LimitListener(l.socket, l.maxConnections)) //nolint:errcheck // The socket was closed.
+		l.server.Serve(acceptor.New(l.socket, l.shedder, l.writeTimeout)) //nolint:errcheck // The socket was closed.
 	})
 }
 
@@ -119,7 +135,7 @@
 	l.socket.drain()
 	select {
 	case <-l.accepted:
-	case <-ctx.Done(): // As many connections as are allowed are open.
+	case <-ctx.Done():
 	}
 	l.arrivals.waitUntilHandled(ctx)
 }
--- /dev/null
+++ b/listener/refusal.go
@@ -0,0 +1,81 @@
+package listener
+
+import (
+	"net/http"
+	"time"
+
+	"burdocklane/acceptor"
+
+	"github.com/go-faster/errors"
+)
+
+// reasonNoRoom is the reason of a refusal while callers hold too much.
+const reasonNoRoom = "callers-hold-too-much"
+
+// unreadTimeout is how long the rest of a body that is not wanted is still read, so that
+// its caller gets to read the answer.
+const unreadTimeout = 200 * time.Millisecond
+
+// bodyLimits returns the limits for the body of a request.
+func (h *Handler) bodyLimits(held *acceptor.Request) bodyLimits {
+	return bodyLimits{maxBuffered: h.limits.MaxReplayBytes(), bufferChunks: h.dialect.bufferChunks, grow: held.Grow}
+}
+
+// answerBytes returns how much of an answer is kept until the caller has read it.
+func answerBytes(response *http.Response) int64 {
+	return copyBufferBytes + max(0, min(response.ContentLength, maxAnswerBytes))
+}
+
+// maxAnswerBytes is the longest answer that may have been read completely before it is
+// forwarded.
+const maxAnswerBytes = 64 << 10
+
+// endUnread makes the connection end with the answer to a request whose body is not read.
+// It bounds the time in which net/http reads the rest.
+func (h *Handler) endUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	closeAfterAnswer(w, r)
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout)) //nolint:errcheck // The connection has ended.
+}
+
+// refuseUnread refuses a request whose body is not read, and ends the connection.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, id string, status int, reason string) {
+	closeAfterAnswer(w, r)
+	h.limitStream(w, r)
+	h.endUnread(w, r)
+	h.writeError(w, id, status, outcomeNotRun, reason)
+}
+
+// closeAfterAnswer ends the connection with the answer, unless it carries other requests.
+func closeAfterAnswer(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// limitStream bounds the time in which a caller takes the answer on a stream. For a
+// connection with one request at a time, the connection does so.
+func (h *Handler) limitStream(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor > 1 {
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.limits.BodyTimeout())) //nolint:errcheck // The connection has ended.
+	}
+}
+
+// flushStream writes the rest of an answer on a stream, so that what it holds is counted
+// until the caller has taken it.
+func flushStream(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor > 1 {
+		http.NewResponseController(w).Flush() //nolint:errcheck // The stream has ended.
+	}
+}
+
+// refuseBody refuses a request whose body could not be read to its end.
+func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
+	if errors.Is(err, errNoRoom) {
+		h.refuseUnread(w, r, id, http.StatusServiceUnavailable, reasonNoRoom)
+		return
+	}
+	h.refuseUnread(w, r, id, http.StatusBadRequest, "request-body")
+}
--- /dev/null
+++ b/listener/unsent_body_test.go
@@ -0,0 +1,86 @@
+package listener_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"burdocklane/descriptor"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// unsentTimeout bounds the wait for an answer that must not wait for the rest of a body.
+const unsentTimeout = 10 * time.Second
+
+// answerTo sends a raw request, keeps the connection open and returns what is received
+// until the listener closes it.
+func answerTo(c *qt.C, address, raw string) string {
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Check(conn.SetDeadline(time.Now().Add(unsentTimeout)), qt.IsNil)
+	io.WriteString(conn, raw) //nolint:errcheck // The answer tells.
+	response, err := io.ReadAll(conn)
+	c.Check(err, qt.IsNil, qt.Commentf("the connection was not closed within %s", unsentTimeout))
+	return string(response)
+}
+
+// Guards against the rest of a body that is waited for, although nobody wants it.
+func TestUnwantedBodiesAreNotAwaited(t *testing.T) {
+	tests := []struct {
+		name string
+		raw  string
+		want string
+	}{
+		{"no class, a body that stops short", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nabc", "404"},
+		{"no class, a long body that stops short", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\nabc", "404"},
+		{"no class, chunks without end", "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "404"},
+		{"no class, no byte of the body", "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n", "404"},
+		{"too large, a body that stops short", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\nabc", "413"},
+		{"upgrade, a body that stops short", "POST /a HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: x\r\nContent-Length: 100\r\n\r\nabc", "501"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, _ := startListener(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { c.Error("the worker got the request") }), descriptor.AtMostOnce{})
+			response := answerTo(c, address, test.raw)
+			c.Check(response, qt.Contains, " "+test.want+" ")
+			c.Check(response, qt.Contains, `"outcome":"not-run"`)
+			c.Check(response, qt.Contains, "Connection: close")
+		})
+	}
+}
+
+// Guards against a connection that is closed although the next request on it could be
+// read: there is no class, and no body.
+func TestConnectionsWithoutUnreadBodiesAreKept(t *testing.T) {
+	c := qt.New(t)
+	address, _ := startListener(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), descriptor.AtMostOnce{})
+	response := sendRaw(c, address, "GET /b HTTP/1.1\r\nHost: h\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	c.Assert(response, qt.Contains, "HTTP/1.1 404")
+	c.Assert(response, qt.Contains, "HTTP/1.1 200")
+}
+
+// Guards against calls that go on after their deadline, with a worker's slot, because their
+// callers do not send the rest of the body.
+func TestCallsWithUnsentBodiesEndAtTheirDeadline(t *testing.T) {
+	const hostile = 8
+	c := qt.New(t)
+	address, _ := startListener(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "read")
+	}), descriptor.AtMostOnce{})
+	raw := "POST /a HTTP/1.1\r\nHost: h\r\nGrpc-Timeout: 200m\r\nContent-Length: 900\r\n\r\n" + strings.Repeat("x", 500)
+	for range hostile {
+		c.Check(answerTo(c, address, raw), qt.Contains, " 502 ")
+	}
+	response := sendRaw(c, address, "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc")
+	c.Assert(response, qt.Contains, "HTTP/1.1 200")
+}
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -209,6 +209,7 @@
 	maxBodyBytes        int64
 	maxReplayBytes      int64
 	maxConnections      int64
+	memoryBytes         int64
 	maxQueueLength      int64
 	headerTimeout       time.Duration
 	bodyTimeout         time.Duration
@@ -243,6 +244,7 @@
 		maxBodyBytes:        o.integer("body-bytes", defaults.maxBodyBytes, 0, maxBytes),
 		maxReplayBytes:      o.integer("replay-bytes", defaults.maxReplayBytes, 0, 1<<24),
 		maxConnections:      o.integer("connections", defaults.maxConnections, 1, maxCount),
+		memoryBytes:         o.integer("memory-bytes", defaults.memoryBytes, 0, maxBytes),
 		maxQueueLength:      o.integer("queue", defaults.maxQueueLength, 0, maxCount),
 		headerTimeout:       o.duration("header-timeout", defaults.headerTimeout),
 		bodyTimeout:         o.duration("body-timeout", defaults.bodyTimeout),
@@ -268,6 +270,10 @@
 // MaxConnections returns the maximum number of callers' connections.
 func (l Limits) MaxConnections() int { return int(l.maxConnections) }
 
+// MemoryBytes returns the memory that the process may use, or 0 if the limit of the Go
+// runtime or the machine's memory applies.
+func (l Limits) MemoryBytes() int64 { return l.memoryBytes }
+
 // MaxQueueLength returns the maximum number of queued calls for each service.
 func (l Limits) MaxQueueLength() int { return int(l.maxQueueLength) }
 
--- a/retrier/result.go
+++ b/retrier/result.go
@@ -22,7 +22,10 @@
 
 // Lost means that the request may have reached the worker and that no response
 // arrived.
-type Lost struct{ err error }
+type Lost struct {
+	err           error
+	callerAtFault bool
+}
 
 func (Answered) result() {}
 func (Declined) result() {}
@@ -44,6 +47,13 @@
 // NewLost returns the result of an attempt that was sent but got no response.
 func NewLost(err error) Lost { return Lost{err: err} }
 
+// WithCallerAtFault returns the result of an attempt whose caller did not send the rest of
+// its request. It says nothing about the worker.
+func (l Lost) WithCallerAtFault() Lost { l.callerAtFault = true; return l }
+
+// IsCallerAtFault reports whether the caller did not send the rest of its request.
+func (l Lost) IsCallerAtFault() bool { return l.callerAtFault }
+
 // Status returns the HTTP status or its equivalent in another protocol.
 func (a Answered) Status() int { return a.status }
 
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -27,6 +27,7 @@
 	"burdocklane/recorder"
 	"burdocklane/registrar"
 	"burdocklane/sender"
+	"burdocklane/shedder"
 	"burdocklane/storer"
 	"burdocklane/watcher"
 
@@ -65,6 +66,8 @@
 	exchanger      *exchanger.Exchanger
 	measuringBytes atomic.Int64 // Traffic of the connections for measuring.
 	inspector      *inspector.Server
+	callerShedder  *shedder.Shedder // Bounds what callers hold.
+	checkShedder   *shedder.Shedder // Bounds what callers of the admin port hold.
 	closeOnce      sync.Once
 	closeErr       error
 }
@@ -143,6 +146,7 @@
 	s.sender = sender.New(
 		sender.WithConnectTimeout(limits.ConnectTimeout()),
 		sender.WithIdleTimeout(limits.UpstreamIdleTimeout()),
+		sender.WithMaxIdle(shedder.MaxIdleWorkerConnections(maxSockets())),
 		sender.WithSourceIP(s.settings.Listen().SourceIP()))
 	var dispatcherOptions []dispatcher.Option
 	if !o.hedging {
@@ -187,7 +191,11 @@
 func (s *Supervisor) openPorts() error {
 	listen := s.settings.Listen()
 	var err error
-	if s.listener, err = listener.New(listen.Callers(), s.handler, s.settings.Limits()); err != nil {
+	memory, sockets := machineMemory(s.settings.Limits()), maxSockets()
+	callers := shedder.CallerLimits(memory, int64(s.settings.Limits().MaxConnections()), sockets)
+	s.callerShedder = shedder.New(callers, shedder.WithLog(s.log, "callers"))
+	s.checkShedder = shedder.New(shedder.CheckLimits(memory, sockets), shedder.WithLog(s.log, "admin"))
+	if s.listener, err = listener.New(listen.Callers(), s.handler, s.settings.Limits(), listener.WithShedder(s.callerShedder)); err != nil {
 		return err
 	}
 	s.inspector, err = inspector.New(listen.Admin(), inspector.Sources{}.
@@ -199,7 +207,7 @@
 		WithFleet(inspector.NewFleet(s.exchanger, s.lender)).
 		WithMeasurementBudget(s.budget, s.measuringBytes.Load).
 		WithControlTraffic(s.control).
-		WithLastContacts(s.watcher.LastContact, s.lister.LastContact))
+		WithLastContacts(s.watcher.LastContact, s.lister.LastContact), s.checkShedder)
 	return err
 }
 
@@ -262,6 +270,10 @@
 	if s.inspector != nil {
 		s.inspector.Close()
 	}
+	if s.callerShedder != nil {
+		s.callerShedder.Close()
+		s.checkShedder.Close()
+	}
 	s.sender.Close()
 	s.store.Close()
 	s.recorder.Close()
