--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -17,6 +17,7 @@
 	// to an earlier one can arrive.
 	firstOnConn bool
 	identified  bool       // The response carries the ID of the request.
+	extraBody   bool       // The worker may send a body that the response cannot have.
 	writeDone   chan error // Receives the result of a concurrent write; nil if there is none.
 }
 
@@ -71,16 +72,21 @@
 	}
 }
 
-// read returns the response to the request. It skips interim (1xx) responses and
-// responses to earlier requests.
+// read returns the response to the request. It skips interim responses and responses to
+// earlier requests. The error is a *StatusError if the worker may not send the status.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxSkippedResponses {
 		response, err := x.conn.readHead(x.request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		switch kind := kindOfStatus(response).(type) {
+		case interimStatus:
 			continue
+		case invalidStatus:
+			return nil, &StatusError{status: response.Status}
+		case finalStatus:
+			x.extraBody = kind.mayHaveExtraBody
 		}
 		if x.isResponseToRequest(response) {
 			if response.StatusCode >= minErrorStatus {
@@ -135,7 +141,9 @@
 // isReusable reports whether the connection can carry another request after this one
 // as far as the response tells: a worker that leaves out the ID of a request cannot
 // be told from one that repeats a response.
-func (x *exchange) isReusable() bool { return x.identified || x.requestID() == "" }
+func (x *exchange) isReusable() bool {
+	return !x.extraBody && (x.identified || x.requestID() == "")
+}
 
 // finish ends the exchange. The connection is reused if the whole request was
 // written and the whole response was read.
