--- a/dispatcher/check.go
+++ b/dispatcher/check.go
@@ -1,6 +1,11 @@
 package dispatcher
 
-import "burdocklane/classifier"
+import (
+	"time"
+
+	"burdocklane/classifier"
+	"burdocklane/recorder"
+)
 
 // Check returns the result for a request that cannot be dispatched whatever its body, or
 // nil. It lets a front end refuse such a request before it reads the body.
@@ -14,3 +19,13 @@
 	}
 	return nil
 }
+
+// ReasonNoRoom is the reason for refusing a request while callers hold too much of the
+// instance.
+const ReasonNoRoom = "callers-hold-too-much"
+
+// RecordNoRoom logs that the front end refuses a request with [ReasonNoRoom]. It has not
+// been dispatched.
+func (d *Dispatcher) RecordNoRoom(request classifier.Request) {
+	d.recorder.Record(recorder.NewDecision(request.ID(), time.Now(), "refuse", ReasonNoRoom))
+}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -73,6 +73,11 @@
 			[]recorder.Decision{decision("x", 25, "refuse", "overload", recorder.WithTimes(25*time.Millisecond, 25*time.Millisecond))},
 			"rejected, not run: no worker of s had capacity to answer in time, after waiting 25.0 ms",
 		},
+		{
+			"callers hold too much",
+			[]recorder.Decision{decision("x", 0, "refuse", "callers-hold-too-much")},
+			"rejected, not run: callers held as much of the instance as they may",
+		},
 		{
 			"a lost response",
 			[]recorder.Decision{send, decision("x", 90, "unknown", "attempt-lost", recorder.WithAttempt(1, "w1"), recorder.WithError(errors.New("EOF")), took(90))},
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -126,6 +126,8 @@
 		return fmt.Sprintf("no worker of %s had capacity to answer in time, after waiting %.1f ms", f.Service, f.WaitedMs)
 	case "no-worker":
 		return fmt.Sprintf("no usable worker of %s (%s)", f.Service, f.Candidates)
+	case "callers-hold-too-much":
+		return "callers held as much of the instance as they may"
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
 	}
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -83,7 +83,7 @@
 	held, hasRoom := acceptor.BeginRequest(w, r)
 	defer held.End()
 	if !hasRoom {
-		h.refuseUnread(w, r, head.ID(), http.StatusServiceUnavailable, reasonNoRoom)
+		h.refuseForRoom(w, r, &head)
 		flushStream(w, r)
 		return
 	}
@@ -107,11 +107,11 @@
 	}
 	body, err := readBody(r, h.limitBody(w, r, held), h.bodyLimits(held))
 	if err != nil {
-		h.refuseBody(w, r, head.ID(), err)
+		h.refuseBody(w, r, &head, err)
 		return
 	}
 	if !held.BeginCall(!body.replayable()) {
-		h.refuseUnread(w, r, head.ID(), http.StatusServiceUnavailable, reasonNoRoom)
+		h.refuseForRoom(w, r, &head)
 		return
 	}
 	x := &exchange{handler: h, request: r, id: head.ID(), body: body}
--- a/listener/refusal.go
+++ b/listener/refusal.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"burdocklane/acceptor"
+	"burdocklane/classifier"
+	"burdocklane/dispatcher"
 
 	"github.com/go-faster/errors"
 )
 
-// reasonNoRoom is the reason of a refusal while callers hold too much.
-const reasonNoRoom = "callers-hold-too-much"
-
 // unreadTimeout is how long the rest of a body that is not wanted is still read, so that
 // its caller gets to read the answer.
 const unreadTimeout = 200 * time.Millisecond
@@ -40,6 +39,12 @@
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout)) //nolint:errcheck // The connection has ended.
 }
 
+// refuseForRoom refuses a request while callers hold too much.
+func (h *Handler) refuseForRoom(w http.ResponseWriter, r *http.Request, head *classifier.Request) {
+	h.dispatcher.RecordNoRoom(*head)
+	h.refuseUnread(w, r, head.ID(), http.StatusServiceUnavailable, dispatcher.ReasonNoRoom)
+}
+
 // refuseUnread refuses a request whose body is not read, and ends the connection.
 func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, id string, status int, reason string) {
 	closeAfterAnswer(w, r)
@@ -72,10 +77,10 @@
 }
 
 // refuseBody refuses a request whose body could not be read to its end.
-func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, id string, err error) {
+func (h *Handler) refuseBody(w http.ResponseWriter, r *http.Request, head *classifier.Request, err error) {
 	if errors.Is(err, errNoRoom) {
-		h.refuseUnread(w, r, id, http.StatusServiceUnavailable, reasonNoRoom)
+		h.refuseForRoom(w, r, head)
 		return
 	}
-	h.refuseUnread(w, r, id, http.StatusBadRequest, "request-body")
+	h.refuseUnread(w, r, head.ID(), http.StatusBadRequest, "request-body")
 }
