--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -83,6 +83,11 @@
 			[]recorder.Decision{decision("x", 25, "refuse", "overload", recorder.WithCandidates(bytes.NewBufferString("total=0 priority=2 verdict=refuse")))},
 			"after waiting 0.0 ms (priority=2 verdict=refuse)",
 		},
+		{
+			"callers hold too much",
+			[]recorder.Decision{decision("x", 0, "refuse", "callers-hold-too-much")},
+			"rejected, not run: callers held as much of the instance as they may",
+		},
 		{
 			"a lost response",
 			[]recorder.Decision{send, decision("x", 90, "unknown", "attempt-lost", recorder.WithAttempt(1, "w1"), recorder.WithError(errors.New("EOF")), took(90))},
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -136,6 +136,8 @@
 		return fmt.Sprintf("the class and the tenant have no region in common in which a call of %s may be processed", f.Service)
 	case "no-allowed-worker":
 		return fmt.Sprintf("no worker of %s is left in the regions in which the call may be processed, outside evacuated zones", f.Service)
+	case "callers-hold-too-much":
+		return "callers held as much of the instance as they may"
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
 	case "key-missing":
