--- a/classifier/index.go
+++ b/classifier/index.go
@@ -46,7 +46,12 @@
 	if len(s.services) == 1 {
 		return s.services[0]
 	}
-	position := float64(s.sequence.Add(1)) * goldenRatioFraction
+	return s.serviceAt(s.sequence.Add(1))
+}
+
+// serviceAt returns the service of the call with the number.
+func (s *weightedSplit) serviceAt(number uint64) *descriptor.Service {
+	position := float64(number) * goldenRatioFraction
 	position -= float64(uint64(position))
 	for i, upperBound := range s.upperBounds {
 		if position < upperBound {
@@ -126,12 +131,20 @@
 // Classify returns the call for the request, or [Unmatched]. Routes for the request's
 // host take precedence over classes that match any host.
 func (x *Index) Classify(r Request, now time.Time) Result {
+	if _, e, ok := x.find(r); ok {
+		return Matched{call: newCall(r, e, e.split.nextService(), now)}
+	}
+	return Unmatched{}
+}
+
+// find returns the entry that matches the request, and the host of its route or "".
+func (x *Index) find(r Request) (string, entry, bool) {
 	for _, host := range [...]string{normalizeHost(r.host), ""} {
 		if e, ok := longestMatch(x.hosts[host], r); ok {
-			return Matched{call: newCall(r, e, now)}
+			return host, e, true
 		}
 	}
-	return Unmatched{}
+	return "", entry{}, false
 }
 
 // normalizeHost returns the host in lower case without its port.
@@ -179,12 +192,12 @@
 
 // newCall returns the call for a request that matched the entry. The caller's timeout
 // can shorten the class's deadline but not extend it.
-func newCall(r Request, e entry, now time.Time) Call {
+func newCall(r Request, e entry, service *descriptor.Service, now time.Time) Call {
 	timeout := e.class.Deadline()
 	if r.timeout > 0 && r.timeout < timeout {
 		timeout = r.timeout
 	}
-	call := NewCall(r.id, e.split.nextService(), e.class, now, now.Add(timeout))
+	call := NewCall(r.id, service, e.class, now, now.Add(timeout))
 	call.caller = r.caller
 	call.idempotencyKey = r.idempotencyKey
 	return call
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -161,16 +161,22 @@
 func (c *activeCall) admissionRequest() limiter.Request {
 	isFirst := !c.admitted
 	c.admitted = true
-	return limiter.NewRequest(c.call.Class().Target().Latency(), c.call.Deadline(),
-		limiter.WithCaller(c.call.Caller()), limiter.WithAvoid(slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...),
-		limiter.WithConstraint(c.constraint), limiter.WithPriority(c.call.Priority()), limiter.WithTenant(c.call.Tenant(), isFirst)).
-		WithTargetDeadline(c.targetDeadline())
+	return NewAdmissionRequest(c.call, c.constraint, isFirst, slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...)
+}
+
+// NewAdmissionRequest returns the request for a slot for the call. Only the first one of a
+// call counts against the rate limit of its tenant.
+func NewAdmissionRequest(call *classifier.Call, constraint limiter.Constraint, isFirst bool, avoid ...registrar.WorkerID) limiter.Request {
+	return limiter.NewRequest(call.Class().Target().Latency(), call.Deadline(),
+		limiter.WithCaller(call.Caller()), limiter.WithAvoid(avoid...),
+		limiter.WithConstraint(constraint), limiter.WithPriority(call.Priority()), limiter.WithTenant(call.Tenant(), isFirst)).
+		WithTargetDeadline(targetDeadline(call))
 }
 
 // targetDeadline returns the time until which a response from the worker still
 // meets the latency target at the caller.
-func (c *activeCall) targetDeadline() time.Time {
-	return c.call.Arrival().Add(c.call.Class().Target().Latency() - networkAllowance)
+func targetDeadline(call *classifier.Call) time.Time {
+	return call.Arrival().Add(call.Class().Target().Latency() - networkAllowance)
 }
 
 // startAttempt registers an attempt that uses the granted slot and logs it. It
--- a/dispatcher/hedge.go
+++ b/dispatcher/hedge.go
@@ -67,7 +67,7 @@
 // pool's current estimate for the first attempt's worker.
 func (c *activeCall) decideHedge(first *attempt) retrier.HedgeDecision {
 	usualLatency, slowdown, reported := c.serviceState.Pool().LatencyEstimate(first.granted.Worker(), c.call.Class().Target().Latency())
-	estimate := retrier.NewEstimate(usualLatency, slowdown, reported, time.Until(c.targetDeadline()))
+	estimate := retrier.NewEstimate(usualLatency, slowdown, reported, time.Until(targetDeadline(c.call)))
 	return retrier.DecideHedge(estimate, time.Since(first.startedAt))
 }
 
--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -62,7 +62,7 @@
 		return verifier.Confirmed{}
 	}
 	pool := c.serviceState.Pool()
-	choice := verifier.NewChoice(worker.ReportAge(pool.Now()), worker.Distance(), c.rejections, time.Until(c.targetDeadline()))
+	choice := verifier.NewChoice(worker.ReportAge(pool.Now()), worker.Distance(), c.rejections, time.Until(targetDeadline(c.call)))
 	if c.call.Regions().IsRestricted() {
 		choice = choice.Confined()
 	}
--- a/limiter/pick.go
+++ b/limiter/pick.go
@@ -1,7 +1,10 @@
 package limiter
 
 import (
+	"time"
+
 	"burdocklane/picker"
+	"burdocklane/tracker"
 )
 
 // pickAndAcquire picks a worker and acquires a slot there. The grant is only valid if the
@@ -18,11 +21,7 @@
 	}
 	for range maxAcquireAttempts {
 		now := p.Now()
-		candidates := p.buildCandidates(buffer[:0], workers, set.holding, req, now, summary)
-		isNoneUsable := summary.usable == 0 && len(workers) == len(set.workers)
-		if req.lastResort || isNoneUsable && !req.hedge {
-			admitLastResort(candidates)
-		}
+		candidates := p.gather(buffer[:0], workers, set, req, now, summary)
 		decision := picker.Pick(policy, candidates, p.rng)
 		send, ok := decision.(picker.Send)
 		if _, refused := decision.(picker.Refuse); refused && len(workers) < len(set.workers) {
@@ -53,3 +52,14 @@
 	}
 	return Granted{}, picker.Wait{}
 }
+
+// gather appends a candidate for each of the workers, which are those of the set or a part
+// of them.
+func (p *Pool) gather(buffer []picker.Candidate, workers []*tracker.Worker, set *workerSet, req *Request, now time.Duration, summary *CandidateSummary) []picker.Candidate {
+	candidates := p.buildCandidates(buffer, workers, set.holding, req, now, summary)
+	isNoneUsable := summary.usable == 0 && len(workers) == len(set.workers)
+	if req.lastResort || isNoneUsable && !req.hedge {
+		admitLastResort(candidates)
+	}
+	return candidates
+}
--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -68,7 +68,7 @@
 		return Refused{reason: ReasonQueueFull, summary: summary}
 	}
 	p.dispatch()
-	timer := time.NewTimer(min(time.Duration(capacityWaitShare*float64(req.target)), maxCapacityWait))
+	timer := time.NewTimer(capacityWait(&req))
 	defer timer.Stop()
 	select {
 	case granted := <-w.ready:
@@ -80,6 +80,11 @@
 	}
 }
 
+// capacityWait returns how long a call waits for capacity.
+func capacityWait(req *Request) time.Duration {
+	return min(time.Duration(capacityWaitShare*float64(req.target)), maxCapacityWait)
+}
+
 // acquireUrgent sends a call that has waited for capacity to a congested or
 // slow worker, or else to one that is about to stop and still serves, or refuses it.
 func (p *Pool) acquireUrgent(w *waiter, arrival time.Time, summary CandidateSummary) Admission {
--- a/limiter/wait.go
+++ b/limiter/wait.go
@@ -60,20 +60,31 @@
 	meanLatency := time.Duration(p.meanLatency.Load())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if reason, ok := p.mayQueue(&w.req, meanLatency); !ok {
+		return reason, false
+	}
+	p.queue.add(w, meanLatency/time.Duration(p.queueSlots()))
+	p.waiting.Add(1)
+	return "", true
+}
+
+// queueSlots is the assumed number of slots that serve the queue.
+func (p *Pool) queueSlots() int { return max(p.Slots()*queueServiceHalves/2, 1) }
+
+// mayQueue returns false and the reason if the call cannot be served in time from the queue.
+// The caller holds the mutex.
+func (p *Pool) mayQueue(req *Request, meanLatency time.Duration) (Reason, bool) {
 	ahead := p.queue.ownCount()
 	if ahead >= p.queueLimit {
 		return ReasonQueueFull, false
 	}
-	slots := max(p.Slots()*queueServiceHalves/2, 1)
-	expected := meanLatency * time.Duration(ahead+1) / time.Duration(slots)
-	if !w.req.lending && time.Until(w.req.deadline) < expected+meanLatency/2 {
+	expected := meanLatency * time.Duration(ahead+1) / time.Duration(p.queueSlots())
+	if !req.lending && time.Until(req.deadline) < expected+meanLatency/2 {
 		return ReasonDeadline, false
 	}
-	if !w.req.lending && expected > maxUsefulWait(w.req.target, meanLatency) {
+	if !req.lending && expected > maxUsefulWait(req.target, meanLatency) {
 		return ReasonOverload, false
 	}
-	p.queue.add(w, meanLatency/time.Duration(slots))
-	p.waiting.Add(1)
 	return "", true
 }
 
--- a/picker/estimate.go
+++ b/picker/estimate.go
@@ -84,6 +84,27 @@
 	return l
 }
 
+// Running returns the running calls of the last report.
+func (l Load) Running() int32 { return l.running }
+
+// Waiting returns the waiting calls of the last report.
+func (l Load) Waiting() int32 { return l.waiting }
+
+// Slots returns the slots of the last report, or those of the list without one.
+func (l Load) Slots() int32 { return l.slots }
+
+// Age returns the age of the last report, and false if there is none.
+func (l Load) Age() (time.Duration, bool) { return l.age, l.age != math.MaxInt64 }
+
+// SentSinceReport returns the number of calls sent since the last report.
+func (l Load) SentSinceReport() int32 { return l.sentSinceReport }
+
+// KnownInFlight returns the number of calls at the worker that the instances know of.
+func (l Load) KnownInFlight() int32 { return l.knownInFlight }
+
+// IsCold reports whether the worker has recently started.
+func (l Load) IsCold() bool { return l.cold }
+
 // AppendText appends the load in the format of logs. It does not use fmt,
 // because it is called for every attempt.
 func (l Load) AppendText(b []byte) []byte {
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -205,11 +205,9 @@
 	best, usable := newLowestScore(), false
 	for i := range candidates {
 		c := &candidates[i]
-		if !routable(c.state) {
-			continue
-		}
-		usable = true
-		if c.inFlight < c.limit {
+		standing := c.slotStanding()
+		usable = usable || standing != Unusable
+		if standing == Free {
 			best.offer(i, scoreByExpectedLatency(c), rng)
 		}
 	}
@@ -236,14 +234,17 @@
 	best := newLowestScore()
 	for i := range candidates {
 		c := &candidates[i]
-		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!allowRemote && c.distance >= RemoteDistance) {
-			continue
+		if c.takesOverflow(allowRemote) {
+			best.offer(i, scoreByQueueingLatency(c), rng)
 		}
-		best.offer(i, scoreByQueueingLatency(c), rng)
 	}
 	return best.orElse(Wait{})
 }
 
+func (c *Candidate) takesOverflow(allowRemote bool) bool {
+	return c.state == Usable && !c.avoid && c.inFlight < c.overflowLimit() && (allowRemote || c.distance < RemoteDistance)
+}
+
 // scoreByQueueingLatency scores a worker by its expected latency including the
 // time in its queue if the slots are taken.
 func scoreByQueueingLatency(c *Candidate) int64 {
--- a/picker/reported_load.go
+++ b/picker/reported_load.go
@@ -88,29 +88,26 @@
 	usable, considered, withCapacity := false, 0, 0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.state == Spent && !c.avoid {
+		standing := p.standing(c)
+		if standing <= Elsewhere {
 			usable = true
 		}
-		if !routable(c.state) || c.avoid {
-			continue
-		}
-		usable = true
-		if p.localOnly && c.distance >= RemoteDistance {
+		if standing >= Elsewhere || c.state == Spent {
 			continue
 		}
 		considered++
 		if !c.congested && c.latency <= int64(p.untilDeadline) {
 			withCapacity++
 		}
-		score := c.reportedScore(rng) + p.distancePenalty(c.distance)
-		switch onTime := c.latency <= int64(p.untilTarget); {
-		case c.latency > int64(p.untilDeadline):
-		case onTime && !c.congested:
+		score := c.reportedScore(rng.Float64()) + p.distancePenalty(c.distance)
+		switch standing {
+		case Free:
 			uncongested.offer(i, score, rng)
-		case onTime && (!c.saturated || float64(c.latency) <= maxQueueingShare*float64(p.untilTarget)):
+		case Congested:
 			congested.offer(i, score, rng)
-		case !c.congested && p.urgent:
+		case Late:
 			late.offer(i, score, rng)
+		case NoCapacity, Elsewhere, Tried, Unusable:
 		}
 	}
 	if !usable {
@@ -131,10 +128,10 @@
 	return d
 }
 
-// reportedScore returns the expected latency with jitter, plus penalties for
-// suspect workers and for those that decline calls.
-func (c *Candidate) reportedScore(rng *rand.Rand) int64 {
-	varied := float64(c.latency) * (1 + latencyJitter*rng.Float64())
+// reportedScore returns the expected latency with a share of the jitter, from 0 to 1, plus
+// penalties for suspect workers and for those that decline calls.
+func (c *Candidate) reportedScore(jitter float64) int64 {
+	varied := float64(c.latency) * (1 + latencyJitter*jitter)
 	if c.state == Suspect {
 		varied += float64(suspectLatencyPenalty)
 	}
--- a/scheduler/confined.go
+++ b/scheduler/confined.go
@@ -47,12 +47,12 @@
 		confinedHere.Inc()
 		return s.assignInRegion(ctx, p, request)
 	}
-	candidates := slices.DeleteFunc(slices.Clone(s.current().coordinators[region]), s.inBackoff)
-	if len(candidates) == 0 {
+	scheduler, ok := s.deciderIn(region, p)
+	if !ok {
 		return limiter.Undecided{}
 	}
 	confinedElsewhere.Inc()
-	return s.sendRequest(ctx, p, request, schedulerOf(candidates, p, candidates[0]), remoteTimeouts)
+	return s.sendRequest(ctx, p, request, scheduler, remoteTimeouts)
 }
 
 // allowedRegions returns the regions with workers that may get the call, in the order in
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -27,7 +27,7 @@
 
 // assignInRegion returns the worker that the scheduler of this instance's region assigns.
 func (s *Scheduler) assignInRegion(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
-	scheduler := schedulerOf(s.live(), p, s.self)
+	scheduler, _ := s.deciderIn(s.self.Locality().Region(), p)
 	if scheduler.ID() == s.self.ID() {
 		return s.assignLocally(ctx, p, request)
 	}
