--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -20,11 +20,13 @@
 	"burdocklane/follower"
 	"burdocklane/gossiper"
 	"burdocklane/healthchecker"
+	"burdocklane/inspector"
 	"burdocklane/limiter"
 	"burdocklane/listener"
 	"burdocklane/parser"
 	"burdocklane/picker"
 	adapter "burdocklane/platform"
+	"burdocklane/previewer"
 	"burdocklane/publisher"
 	"burdocklane/recorder"
 	"burdocklane/registrant"
@@ -217,6 +219,14 @@
 	return limiter.Undecided{}
 }
 
+// deciders returns the schedulers that would be asked for the request.
+func (p *Process) deciders(pool *limiter.Pool, request limiter.Request) []scheduler.Decider {
+	if s := p.scheduler.Load(); s != nil {
+		return s.Deciders(pool, request)
+	}
+	return nil
+}
+
 // serve starts the listener for callers and the server for readiness checks and
 // metrics.
 func (p *Process) serve() error {
@@ -235,6 +245,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(adapter.ReadyPath, p.handleReady).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	router.HandleFunc(inspector.WherePath, inspector.WhereHandler(previewer.New(p.self(), p.publisher, previewer.WithDeciders(p.deciders)))).Methods(http.MethodGet)
 	p.readiness = &http.Server{Handler: router, ReadHeaderTimeout: readinessHeaderTimeout}
 	p.serving.Go(func() {
 		p.readiness.Serve(socket) //nolint:errcheck // Always ErrServerClosed.
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -85,7 +85,7 @@
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return newInputError(err) })
-	root.AddCommand(newDemo(), newServe(), newConfig(), newStatus(), newExplain(), newEmulate(), newBench(), newVersion())
+	root.AddCommand(newDemo(), newServe(), newConfig(), newStatus(), newExplain(), newWhere(), newEmulate(), newBench(), newVersion())
 	return root
 }
 
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -14,6 +14,7 @@
 	"burdocklane/asserter"
 	"burdocklane/budgeter"
 	"burdocklane/dispatcher"
+	"burdocklane/previewer"
 	"burdocklane/publisher"
 	"burdocklane/recorder"
 	"burdocklane/registrar"
@@ -110,6 +111,7 @@
 	router.HandleFunc("/metrics", i.serveMetrics).Methods(http.MethodGet)
 	router.HandleFunc("/status", i.serveStatus).Methods(http.MethodGet)
 	router.HandleFunc("/explain/{id}", i.serveExplain).Methods(http.MethodGet)
+	router.HandleFunc(WherePath, WhereHandler(previewer.New(i.sources.instance, i.sources.publisher))).Methods(http.MethodGet)
 	return router
 }
 
