--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -34,6 +34,7 @@
 		{"duration out of range", []string{"demo", "--for", "0s"}, 2, "--for: 0s is not between"},
 		{"store not reachable", []string{"config", "get", "--store", "http://127.0.0.1:1"}, 1, "connection refused"},
 		{"instance not reachable", []string{"status", "--admin", "127.0.0.1:1"}, 1, "connection refused"},
+		{"where: a key in place of a tenant is not repeated", []string{"where", "--address", "127.0.0.1:1", "--tenant", "key"}, 1, "admin port 127.0.0.1:1: dial"},
 		{"invalid settings", []string{"serve", "--settings", invalid}, 2, invalid + ": listen: is missing"},
 	}
 	for _, test := range tests {
--- a/integrator/operate_test.go
+++ b/integrator/operate_test.go
@@ -37,6 +37,9 @@
 			c.Check(explained, qt.Contains, want)
 		}
 	}
+	status, where := f.runCommand("where", "--address", instance.Member().AdminAddress(), "--path", "/batches/1", "--json")
+	c.Assert(status, qt.Equals, 0)
+	c.Check(where, qt.Contains, `"decision": "send"`)
 	_, overview := f.runCommand("status", "--admin", instance.Member().AdminAddress())
 	c.Check(overview, qt.Contains, `"learnt-from": "`)
 	c.Assert(instance.Stop(), qt.IsNil)
