--- a/limiter/preview_test.go
+++ b/limiter/preview_test.go
@@ -16,6 +16,7 @@
 	"burdocklane/tracker"
 
 	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 )
 
@@ -51,11 +52,11 @@
 	return p
 }
 
-// stateOf is all that a call would change: calls, the queue, allowances and counters.
+// stateOf is what a call would change: calls, the queue and counters.
 func stateOf(p *limiter.Pool) string {
 	var b bytes.Buffer
 	for _, w := range p.Workers() {
-		fmt.Fprintln(&b, w.ID(), w.InFlight(), w.OwnInFlight(), w.Load(0).SentSinceReport(), w.MayCall(tracker.NewAllowance(1, 1), 0, 3*time.Second/2))
+		fmt.Fprintln(&b, w.ID(), w.InFlight(), w.OwnInFlight(), w.Load(0).SentSinceReport())
 	}
 	var counters bytes.Buffer
 	metrics.WritePrometheus(&counters, false)
@@ -160,3 +161,35 @@
 		})
 	}
 }
+
+// Guards against a preview that takes the call of a cold worker's allowance.
+func TestPreviewTakesNoColdCall(t *testing.T) {
+	tests := []struct {
+		name     string
+		rate     float64
+		coldCall bool
+	}{
+		{"limited", 20, true},
+		{"not limited", 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			here := registrar.NewLocality("r", "z")
+			self := registrar.NewInstance("i", "", "", here, false)
+			p := limiter.New("s", self, limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithColdTolerance(limiter.NewColdTolerance(2, 0)))
+			p.SetWarmup(descriptor.NewWarmup(time.Minute, test.rate))
+			p.Update([]registrar.Worker{registrar.NewWorker("w", "s", "", here, 3, false).WithStart(1, time.Minute)}, []registrar.Instance{self})
+			time.Sleep(100 * time.Millisecond) // The allowance begins empty, and fills in 66 ms.
+			reportAll(p, 0, 1)
+			for range 10 {
+				_, sends := p.Preview(newRequest()).Outlook().(limiter.WouldSend)
+				c.Assert(sends, qt.IsTrue)
+			}
+			granted, ok := p.Acquire(context.Background(), newRequest()).(limiter.Granted)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(granted.HasColdCall(), qt.Equals, test.coldCall)
+			granted.Release()
+		})
+	}
+}
