--- a/picker/policy.go
+++ b/picker/policy.go
@@ -205,9 +205,11 @@
 	best, usable := newLowestScore(), false
 	for i := range candidates {
 		c := &candidates[i]
-		standing := c.slotStanding()
-		usable = usable || standing != Unusable
-		if standing == Free {
+		if !routable(c.state) {
+			continue
+		}
+		usable = true
+		if c.hasFreeSlot() {
 			best.offer(i, scoreByExpectedLatency(c), rng)
 		}
 	}
@@ -217,6 +219,8 @@
 	return Refuse{}
 }
 
+func (c *Candidate) hasFreeSlot() bool { return c.inFlight < c.limit }
+
 // RemoteDistance is the distance between localities of different regions.
 const RemoteDistance = 2
 
--- a/picker/rank.go
+++ b/picker/rank.go
@@ -117,7 +117,7 @@
 	switch {
 	case !routable(c.state):
 		return Unusable
-	case c.inFlight >= c.limit:
+	case !c.hasFreeSlot():
 		return NoCapacity
 	}
 	return Free
