--- a/dispatcher/check.go
+++ b/dispatcher/check.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"burdocklane/authenticator"
 	"burdocklane/classifier"
 	"burdocklane/recorder"
 )
@@ -14,9 +15,14 @@
 	if !snapshot.Ready() {
 		return NotReady{}
 	}
-	if !snapshot.Index().Matches(request) {
+	call, ok := snapshot.Index().Match(request, time.Now())
+	if !ok {
 		return Unmatched{}
 	}
+	if r, ok := snapshot.Authenticator().Authenticate(request.Credential(), call.Class().IsPublic()).(authenticator.Rejected); ok {
+		d.recordRejection(snapshot, &call, r.Reason())
+		return Unauthorized{}
+	}
 	return nil
 }
 
--- a/listener/unsent_body_test.go
+++ b/listener/unsent_body_test.go
@@ -56,6 +56,29 @@
 	}
 }
 
+// Guards against memory for the body of a request whose key nobody holds.
+func TestBodyWithoutAKeyInForceIsNotAwaited(t *testing.T) {
+	tests := []struct{ name, head, want string }{
+		{"no key", "", "401"},
+		{"an unknown key", "Authorization: Bearer k-3\r\n", "401"},
+		{"an unknown path", "Authorization: Bearer k-1\r\n", "404"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			path := "/a/1"
+			if test.want == "404" {
+				path = "/b"
+			}
+			address, received := startRecordingListener(c, tenantDeployment(acme))
+			response := answerTo(c, address, "POST "+path+" HTTP/1.1\r\nHost: h.example\r\n"+test.head+"Content-Length: 100\r\n\r\nabc")
+			c.Check(response, qt.Contains, " "+test.want+" ")
+			c.Check(response, qt.Contains, "Connection: close")
+			c.Check(received, qt.HasLen, 0)
+		})
+	}
+}
+
 // Guards against a connection that is closed although the next request on it could be
 // read: there is no class, and no body.
 func TestConnectionsWithoutUnreadBodiesAreKept(t *testing.T) {
--- a/picker/policy.go
+++ b/picker/policy.go
@@ -209,7 +209,7 @@
 			continue
 		}
 		usable = true
-		if c.inFlight < c.limit {
+		if c.hasFreeSlot() {
 			best.offer(i, scoreByExpectedLatency(c), rng)
 		}
 	}
@@ -219,6 +219,8 @@
 	return Refuse{}
 }
 
+func (c *Candidate) hasFreeSlot() bool { return c.inFlight < c.limit }
+
 // RemoteDistance is the distance between localities of different regions.
 const RemoteDistance = 2
 
@@ -236,14 +238,17 @@
 	best := newLowestScore()
 	for i := range candidates {
 		c := &candidates[i]
-		if c.state != Usable || c.avoid || c.inFlight >= c.overflowLimit() || (!allowRemote && c.distance >= RemoteDistance) {
-			continue
+		if c.takesOverflow(allowRemote) {
+			best.offer(i, scoreByQueueingLatency(c), rng)
 		}
-		best.offer(i, scoreByQueueingLatency(c), rng)
 	}
 	return best.orElse(Wait{})
 }
 
+func (c *Candidate) takesOverflow(allowRemote bool) bool {
+	return c.state == Usable && !c.avoid && c.inFlight < c.overflowLimit() && (allowRemote || c.distance < RemoteDistance)
+}
+
 // scoreByQueueingLatency scores a worker by its expected latency including the
 // time in its queue if the slots are taken.
 func scoreByQueueingLatency(c *Candidate) int64 {
