Ask peers for a later configuration before the first one is in force

Before the first configuration is put in force, the new package confirmer asks four listed peers at once, first one of each zone, and takes over a later one. Two answers are enough, also of peers that have no configuration yet; without answers a start waits 300 ms at most. A later configuration that has begun to arrive is always waited for. The question names the version, so that a peer with no later one sends no body.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"burdocklane/asserter"
+	"burdocklane/confirmer"
 	"burdocklane/dispatcher"
 	"burdocklane/drainer"
 	"burdocklane/fetcher"
@@ -109,6 +110,7 @@
 	delegate     *registrant.Delegate
 	fetcher      *fetcher.Fetcher
 	peerClient   *relayer.ConfigurationClient
+	confirmer    *confirmer.Confirmer
 	applying     sync.Mutex // Serializes configurations of the follower and the fetcher.
 	gossiper     *gossiper.Gossiper
 	scheduler    atomic.Pointer[scheduler.Scheduler]
@@ -190,6 +192,7 @@
 	p.follower = follower.New(p.store, adapter.WatchedPrefix, p.applyKeys, p.log, follower.WithRelays(relays), follower.WithOnLost(p.relay.Recheck),
 		follower.WithDiscovery(follower.NewDiscovery(zonePrefix, d.firstSource)))
 	p.peerClient = relayer.NewConfigurationClient()
+	p.confirmer = confirmer.New(p.settings.Instance(), p.peerClient.Ask, p.log)
 	p.fetcher = fetcher.New(fetcher.NewHooks(p.activeVersion, p.peerClient.Fetch, p.applyFetched), catchUpTimeout, p.log)
 	p.gossiper, err = gossiper.New(p.self(), p.publisher,
 		p.checker,
@@ -288,6 +291,9 @@
 		time.Sleep(drainDelay)
 		err = p.listener.Close()
 	}
+	if p.confirmer != nil {
+		p.confirmer.Close()
+	}
 	if p.follower != nil {
 		p.follower.Close()
 	}
--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -20,6 +20,7 @@
 	p.registration.Observe(stored)
 	p.updateRelay(list, stored)
 	if changed != nil {
+		p.confirmFirst(list, changed.Revision())
 		p.applyConfiguration(*changed, configurationValue(usable), p.follower.Source(), delivered)
 	}
 	p.publisher.PublishList(list)
@@ -28,6 +29,19 @@
 	}
 }
 
+// confirmFirst asks peers for a later configuration than the first one that was read, and
+// puts it in force, so that nothing that it has withdrawn is in use after a start.
+func (p *Process) confirmFirst(list registrar.List, read descriptor.Revision) {
+	if p.publisher.Current().Ready() {
+		return
+	}
+	p.confirmer.Confirm(list.Instances(), read, func(value []byte, source string) {
+		if _, err := p.applyFetched(value, source); err != nil {
+			p.log.Warn().Err(err).Str("source", source).Msg("configuration of a peer is invalid; ignoring it")
+		}
+	})
+}
+
 // applyConfiguration makes a configuration active unless it is older than the active
 // one, or the same: a store that has gone back to an older copy gives it out again. The
 // same revision with other content is active if it was written since the store went
@@ -42,7 +56,7 @@
 	var otherContent *publisher.ContentError
 	switch {
 	case err == nil:
-		p.relay.PublishConfiguration(value)
+		p.relay.PublishConfiguration(d.Revision(), value)
 		p.log.Info().Int64("revision", int64(d.Revision())).Str("source", source).Int("tenants", len(d.Tenants())).
 			Dur("applied-in", time.Since(delivered)).Dur("behind", behind).Msg("configuration is in force")
 	case errors.As(err, &notNewer) && notNewer.Rejected() == notNewer.Active():
--- a/relayer/configuration_test.go
+++ b/relayer/configuration_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"burdocklane/confirmer"
+	"burdocklane/descriptor"
 	"burdocklane/holder"
 	"burdocklane/storer"
 
@@ -27,14 +30,14 @@
 		status       int // Of the error, or 0.
 	}{
 		{"no configuration", true, func(*Relay) {}, http.StatusNotFound},
-		{"not a relay", true, func(r *Relay) { r.PublishConfiguration([]byte(value)) }, 0},
-		{"lost the store", false, func(r *Relay) { r.PublishConfiguration([]byte(value)) }, 0},
+		{"not a relay", true, func(r *Relay) { r.PublishConfiguration(2, []byte(value)) }, 0},
+		{"lost the store", false, func(r *Relay) { r.PublishConfiguration(2, []byte(value)) }, 0},
 		{"replaced", false, func(r *Relay) {
-			r.PublishConfiguration([]byte(`{"Version":"r1"}`))
-			r.PublishConfiguration([]byte(value))
+			r.PublishConfiguration(1, []byte(`{"Version":"r1"}`))
+			r.PublishConfiguration(2, []byte(value))
 		}, 0},
 		{"suspended", true, func(r *Relay) {
-			r.PublishConfiguration([]byte(value))
+			r.PublishConfiguration(2, []byte(value))
 			r.Suspend()
 		}, 0},
 	}
@@ -94,3 +97,66 @@
 		})
 	}
 }
+
+// Guards against a whole configuration for each instance that starts and has it already,
+// and against a peer without one that counts as one that agrees.
+func TestQuestionForALaterConfiguration(t *testing.T) {
+	const value = `{"Version":"r5"}`
+	tests := []struct {
+		name    string
+		version descriptor.Revision // In force at the peer, or 0.
+		asked   descriptor.Revision
+		answer  confirmer.Answer
+	}{
+		{"none in force", 0, 4, confirmer.NoConfiguration{}},
+		{"an earlier one", 5, 6, confirmer.NotLater{}},
+		{"the same one", 5, 5, confirmer.NotLater{}},
+		{"a later one", 5, 4, confirmer.NewLater([]byte(value))},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			defer goleak.VerifyNone(t)
+			c := qt.New(t)
+			r, err := New("127.0.0.1:0", func() bool { return true }, zerolog.Nop())
+			c.Assert(err, qt.IsNil)
+			defer r.Close()
+			if test.version > 0 {
+				r.PublishConfiguration(test.version, []byte(value))
+			}
+			client := NewConfigurationClient()
+			defer client.Close()
+			answer := client.Ask(context.Background(), r.Address(), test.asked)
+			c.Assert(fmt.Sprintf("%T %s", answer, answer), qt.Equals, fmt.Sprintf("%T %s", test.answer, test.answer))
+		})
+	}
+}
+
+// Guards against a peer that is not reachable, or answers something else, and counts as
+// one that agrees.
+func TestQuestionWithoutAnAnswer(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int // Or 0 for a peer that does not run.
+		body   string
+	}{
+		{"does not run", 0, ""},
+		{"busy", http.StatusServiceUnavailable, ""},
+		{"truncated", http.StatusOK, `{"Version":"r5"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				w.Write([]byte(test.body)) //nolint:errcheck // The client may not read it.
+			}))
+			defer server.Close()
+			if test.status == 0 {
+				server.Close()
+			}
+			client := NewConfigurationClient()
+			defer client.Close()
+			_, unknown := client.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), 1).(confirmer.Unknown)
+			qt.Assert(t, unknown, qt.IsTrue)
+		})
+	}
+}
--- a/relayer/large_test.go
+++ b/relayer/large_test.go
@@ -61,7 +61,7 @@
 			c.Assert(err, qt.IsNil)
 			c.Cleanup(relay.Close)
 			relay.Publish(test.first)
-			relay.PublishConfiguration(value)
+			relay.PublishConfiguration(1, value)
 			link, err := throttler.New(relay.Address(), linkBytes/zoneReaders)
 			c.Assert(err, qt.IsNil)
 			c.Cleanup(link.Close)
--- a/relayer/relay.go
+++ b/relayer/relay.go
@@ -61,8 +61,8 @@
 	hasLostStore func() bool // Reports whether the store does not serve this instance.
 	serving      atomic.Bool
 	keys         atomic.Pointer[snapshot]
-	enroll       Enroll                           // Or nil.
-	active       atomic.Pointer[func() *encoding] // The configuration in force, or nil.
+	enroll       Enroll                              // Or nil.
+	active       atomic.Pointer[activeConfiguration] // Or nil.
 	address      string
 	server       *http.Server
 	ctx          context.Context
