--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -40,6 +40,7 @@
 func TestCause(t *testing.T) {
 	target := recorder.WithTarget(200 * time.Millisecond)
 	took := func(ms int) recorder.DecisionOption { return recorder.WithTimes(0, time.Duration(ms)*time.Millisecond) }
+	inForce := recorder.WithConfiguration(12, 1500*time.Millisecond)
 	send := decision("x", 0, "send", "assigned", recorder.WithAttempt(1, "w1"), target)
 	tests := []struct {
 		name      string
@@ -91,6 +92,21 @@
 			[]recorder.Decision{decision("x", 5, "refuse", "instance-stops", target)},
 			"rejected, not run: the instance was stopping",
 		},
+		{
+			"no API key",
+			[]recorder.Decision{decision("x", 1, "refuse", "key-missing", inForce)},
+			"rejected, not run: it carried no API key, which configuration 12 (active for 1500 ms) requires",
+		},
+		{
+			"an unreadable API key",
+			[]recorder.Decision{decision("x", 1, "refuse", "key-malformed", inForce)},
+			"rejected, not run: its Authorization was not one bearer token, which configuration 12 (active for 1500 ms) requires",
+		},
+		{
+			"an API key that nobody holds",
+			[]recorder.Decision{decision("x", 1, "refuse", "key-unknown", inForce)},
+			"rejected, not run: no tenant of configuration 12 (active for 1500 ms) holds its API key",
+		},
 		{"interrupted response", []recorder.Decision{send, decision("x", 9, "broken", "transfer-broken")}, "the response was interrupted"},
 		{"no final line", []recorder.Decision{send}, "no log line records how the call ended"},
 	}
