Play API keys in the soak

Each version of the configuration adds a key and withdraws one. Callers present a key that every version has, and claim another tenant. Checked: no process serves a key that is withdrawn in a version it has served, each worker gets the tenant and no credential, and a lasting key never gets 401.

--- a/soaker/callers_test.go
+++ b/soaker/callers_test.go
@@ -104,6 +104,8 @@
 	}
 	request.Host = "h.example"
 	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Tenant", "another") // Workers must not get what callers claim.
+	setKey(request, lastingKey)
 	request.Header.Set("X-Request-Deadline-Ms", "2000")
 	o.record(client.Do(request))
 	return o
--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -135,7 +135,7 @@
 }
 
 // putNextConfiguration puts the next version of the configuration into the store.
-// Each version adds one route of each kind. It has all other routes too, which nobody
+// Each version adds one route of each kind and a key, and withdraws a key. It has all other routes too, which nobody
 // calls.
 func (f *fleet) putNextConfiguration() {
 	f.mutex.Lock()
@@ -150,8 +150,8 @@
 	for n := range f.otherRoutes {
 		routes = append(routes, fmt.Sprintf(`"other-%[1]d":{"Host":"h%[1]d.example","Prefix":"/other/%[1]d/","Kind":"safe","Service":%[2]q}`, n, serviceName))
 	}
-	f.store.Put(configKey, fmt.Sprintf(`{"Version":"r%d","Routes":{%s},"Services":{%q:{"HealthPath":%q}},"Limits":{"IdleTimeoutMs":15000}}`,
-		f.version, strings.Join(routes, ","), serviceName, imitator.HealthPath))
+	f.store.Put(configKey, fmt.Sprintf(`{"Version":"r%d","Routes":{%s},"Services":{%q:{"HealthPath":%q}},"Limits":{"IdleTimeoutMs":15000},"Tenants":%s}`,
+		f.version, strings.Join(routes, ","), serviceName, imitator.HealthPath, tenantsOf(f.version)))
 	f.confirmations = append(f.confirmations, time.Now())
 }
 
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -137,6 +137,9 @@
 	injectors.Wait()
 	f.putNextConfiguration()
 	f.awaitVersion(ctx, f.latestVersion())
+	for _, i := range f.currentIncarnations() {
+		f.checkAllWithdrawnKeys(ctx, i, f.latestVersion())
+	}
 	stop()
 	cs.running.Wait()
 	watchers.Wait()
@@ -164,12 +167,18 @@
 // probe calls the route that this version of the configuration added, and returns
 // the status, or 0 without a response.
 func (f *fleet) probe(ctx context.Context, i *incarnation, version int) int {
+	return f.probeWithKey(ctx, i, version, lastingKey)
+}
+
+// probeWithKey is like probe, with the API key.
+func (f *fleet) probeWithKey(ctx context.Context, i *incarnation, version int, key string) int {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/safe/%d/probe", i.callers, version), http.NoBody)
 	if err != nil {
 		return 0
 	}
 	request.Host = "h.example"
 	request.Header.Set("X-Request-Id", "probe")
+	setKey(request, key)
 	response, err := probeClient.Do(request)
 	if err != nil {
 		return 0
@@ -193,6 +202,7 @@
 			case status == http.StatusNotFound && latest <= i.latestServed:
 				f.c.Errorf("%s reverted to a configuration older than %d", i.process.Name(), latest)
 			}
+			f.checkWithdrawnKey(ctx, i, i.latestServed)
 		}
 	}
 }
@@ -204,6 +214,7 @@
 	for _, m := range f.workers {
 		for _, r := range m.worker.Runs() {
 			runs[r.ID()] = append(runs[r.ID()], r)
+			f.checkTenant(m.worker.ID(), r)
 			if checkTimeLimits && !m.drainingSince.IsZero() && f.wasUndisturbed(m.drainingSince, r.At()) && r.At().Sub(m.drainingSince) > drainTimeout {
 				f.c.Errorf("%s ran at %s %s after the worker was listed as draining", r.ID(), m.worker.ID(), r.At().Sub(m.drainingSince))
 			}
@@ -232,6 +243,8 @@
 		f.c.Errorf("%s was rejected as not run with status %d but ran", o.id, o.status)
 	case o.err == nil && o.status == http.StatusNotFound && o.route == 1: // Every configuration has it.
 		f.c.Errorf("%s got status 404 for route %d, which every configuration has", o.id, o.route)
+	case o.err == nil && o.status == http.StatusUnauthorized: // Every configuration has the key.
+		f.c.Errorf("%s got status 401 for a key that every configuration has", o.id)
 	case o.err != nil && o.connected && runs > 0 && !o.incarnation.isDisturbed() && o.end.Sub(o.start) < callTimeout:
 		f.c.Errorf("%s was aborted by %s, which was neither killed nor suspended: %v", o.id, o.incarnation.process.Name(), o.err)
 	}
