Declare tenants in the product's own configuration documents

`serve` had no keys: only the users' platform's configuration knew tenants. In the store they are one key, whose hash the deployment key names, so that a configuration is never active without its tenants.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -16,14 +16,18 @@
 type IncompleteError struct {
 	revision descriptor.Revision
 	service  descriptor.ServiceName
+	tenants  bool // The tenants are missing, or do not match the deployment key.
 }
 
 // Service returns the service that is missing or does not match the deployment
-// key. It is empty if the deployment key is missing.
+// key. It is empty if the deployment key is missing, or the tenants are.
 func (e *IncompleteError) Service() descriptor.ServiceName { return e.service }
 
 // Error implements error.
 func (e *IncompleteError) Error() string {
+	if e.tenants {
+		return fmt.Sprintf("configuration at revision %d: the tenants are missing or do not match the deployment key", e.revision)
+	}
 	if e.service == "" {
 		return "configuration: the deployment key is missing"
 	}
@@ -87,8 +91,12 @@
 		}
 		services = append(services, service)
 	}
+	tenants, err := a.tenants(manifest)
+	if err != nil {
+		return descriptor.Deployment{}, err
+	}
 	a.removeStale(manifest)
-	return manifest.deployment(services), nil
+	return manifest.deployment(services, tenants), nil
 }
 
 func (a *Assembler) service(name descriptor.ServiceName, manifest Manifest) (descriptor.Service, error) {
@@ -108,8 +116,24 @@
 	return service, nil
 }
 
-// removeStale drops the services that the manifest does not list.
+// tenants returns the tenants that the manifest names, or none.
+func (a *Assembler) tenants(manifest Manifest) ([]descriptor.Tenant, error) {
+	if manifest.message.Tenants == "" {
+		return nil, nil
+	}
+	key := a.keys.TenantsKey()
+	pair, ok := a.pairs[key]
+	if !ok || contentHash(pair.Value()) != manifest.message.Tenants {
+		return nil, &IncompleteError{revision: manifest.Revision(), tenants: true}
+	}
+	return parser.ParseTenants(key, pair.Value())
+}
+
+// removeStale drops the services and the tenants that the manifest does not list.
 func (a *Assembler) removeStale(manifest Manifest) {
+	if manifest.message.Tenants == "" {
+		delete(a.pairs, a.keys.TenantsKey())
+	}
 	for key := range a.pairs {
 		name, ok := a.keys.ServiceName(key)
 		if !ok {
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -26,6 +26,16 @@
 	return descriptor.NewDeployment("d", descriptor.NewMeasurementBudget(1, 0.1), services)
 }
 
+// tenants returns a number of tenants with a key each.
+func tenants(count int) []descriptor.Tenant {
+	var all []descriptor.Tenant
+	for n := range count {
+		name := string(rune('a' + n))
+		all = append(all, descriptor.NewTenant(descriptor.TenantName(name), descriptor.WithKeys(descriptor.DigestKey("key-"+name))))
+	}
+	return all
+}
+
 func applyDeployment(t rapid.TB, store *storer.Memory, d descriptor.Deployment) descriptor.Revision {
 	plan, err := assembler.NewPlan(keys, store.Range(keys.ConfigPrefix()), d, descriptor.NewChange("id", "me", time.Unix(0, 0)))
 	committed := store.Commit(plan.Txn())
@@ -75,6 +85,7 @@
 				all := []string{"a", "b", "c", "d"}
 				latency := time.Duration(rapid.IntRange(1, 3).Draw(t, "latency")) * time.Second
 				d := deployment(latency, all[:rapid.IntRange(1, 4).Draw(t, "services")]...)
+				d = d.WithTenants(tenants(rapid.IntRange(0, 2).Draw(t, "tenants")))
 				applied[applyDeployment(t, store, d)] = encode(t, d)
 			case 1:
 				merge(rapid.IntRange(0, 1).Draw(t, "node"), store.Range(keys.ConfigPrefix()).Pairs())
@@ -101,6 +112,37 @@
 	})
 }
 
+// Guards against a configuration that is active without its tenants, which would open all
+// classes, while their key has not been read yet, or is of another version.
+func TestTenantsAreNeverLeftOut(t *testing.T) {
+	c := qt.New(t)
+	store := storer.NewMemory()
+	a := assembler.New(keys)
+	applyDeployment(t, store, deployment(time.Second, "a").WithTenants(tenants(1)))
+	older := store.Range(keys.ConfigPrefix()).Pairs()
+	applyDeployment(t, store, deployment(time.Second, "a").WithTenants(tenants(2)))
+	var partial []storer.Pair
+	for _, pair := range store.Range(keys.ConfigPrefix()).Pairs() {
+		if pair.Key() != keys.TenantsKey() {
+			partial = append(partial, pair)
+		}
+	}
+	var incomplete *assembler.IncompleteError
+	_, err := a.Merge(partial)
+	c.Assert(errors.As(err, &incomplete), qt.IsTrue)
+	_, err = a.Merge(older)
+	c.Assert(errors.As(err, &incomplete), qt.IsTrue)
+	d, err := a.Merge(store.Range(keys.ConfigPrefix()).Pairs())
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Tenants(), qt.HasLen, 2)
+	applyDeployment(t, store, deployment(time.Second, "a"))
+	c.Assert(store.Range(keys.ConfigPrefix()).Pairs(), qt.HasLen, 2)
+	d, err = a.Merge(store.Range(keys.ConfigPrefix()).Pairs())
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Tenants(), qt.HasLen, 0)
+	c.Assert(a.PairsSince(0), qt.HasLen, 2)
+}
+
 func TestRemovedServicesAreDropped(t *testing.T) {
 	c := qt.New(t)
 	store := storer.NewMemory()
--- a/assembler/keys.go
+++ b/assembler/keys.go
@@ -25,6 +25,9 @@
 // is the revision of the configuration.
 func (k Keys) DeploymentKey() string { return k.ConfigPrefix() + "deployment" }
 
+// TenantsKey returns the key of the tenants. It exists only if there are any.
+func (k Keys) TenantsKey() string { return k.ConfigPrefix() + "tenants" }
+
 // ServiceKey returns the key of the service.
 func (k Keys) ServiceKey(name descriptor.ServiceName) string {
 	return k.ConfigPrefix() + "services/" + string(name)
--- a/assembler/manifest.go
+++ b/assembler/manifest.go
@@ -23,6 +23,7 @@
 	Author         string            `json:"author"`
 	At             time.Time         `json:"at"`
 	Services       map[string]string `json:"services"`
+	Tenants        string            `json:"tenants,omitempty"` // The hash of their value.
 }
 
 // recordMessage is the value of a history key.
@@ -94,11 +95,17 @@
 // Services returns the names of the services that the change wrote or deleted.
 func (r HistoryRecord) Services() []string { return r.message.Services }
 
+// contentHashes are the hashes of the values that a manifest names.
+type contentHashes struct {
+	services map[string]string
+	tenants  string // Empty without tenants.
+}
+
 func contentHash(value []byte) string {
 	return strconv.FormatUint(xxhash.Sum64(value), 16)
 }
 
-func encodeManifest(d descriptor.Deployment, number int64, change descriptor.Change, services map[string]string) ([]byte, error) {
+func encodeManifest(d descriptor.Deployment, number int64, change descriptor.Change, hashes contentHashes) ([]byte, error) {
 	data, err := json.Marshal(manifestMessage{
 		Deployment:     d.Name(),
 		BytesPerSecond: d.MeasurementBudget().BytesPerSecond(),
@@ -107,7 +114,8 @@
 		ChangeID:       change.ID(),
 		Author:         change.Author(),
 		At:             change.At(),
-		Services:       services,
+		Services:       hashes.services,
+		Tenants:        hashes.tenants,
 	})
 	if err != nil {
 		return data, errors.Wrap(err, "encode deployment key")
@@ -115,8 +123,8 @@
 	return data, nil
 }
 
-func (m Manifest) deployment(services []descriptor.Service) descriptor.Deployment {
+func (m Manifest) deployment(services []descriptor.Service, tenants []descriptor.Tenant) descriptor.Deployment {
 	budget := descriptor.NewMeasurementBudget(m.message.BytesPerSecond, m.message.WorkerShare)
 	return descriptor.NewDeployment(m.message.Deployment, budget, services).
-		WithRevision(m.Revision(), m.Change())
+		WithTenants(tenants).WithRevision(m.Revision(), m.Change())
 }
--- a/assembler/plan.go
+++ b/assembler/plan.go
@@ -43,11 +43,15 @@
 	}
 	p := Plan{}
 	p.txn.Compare(keys.DeploymentKey(), manifest.revision)
-	hashes, err := p.putServices(keys, stored, d)
-	if err != nil {
+	var hashes contentHashes
+	var err error
+	if hashes.services, err = p.putServices(keys, stored, d); err != nil {
+		return Plan{}, err
+	}
+	p.deleteServices(keys, stored, hashes.services)
+	if hashes.tenants, err = p.putTenants(keys, stored, d); err != nil {
 		return Plan{}, err
 	}
-	p.deleteServices(keys, stored, hashes)
 	slices.Sort(p.changedServices)
 	return p, p.putManifestAndRecord(keys, d, manifest.ChangeNumber()+1, change, hashes)
 }
@@ -69,6 +73,25 @@
 	return hashes, nil
 }
 
+// putTenants writes or deletes the tenants and returns the hash of their value.
+func (p *Plan) putTenants(keys Keys, stored map[string][]byte, d descriptor.Deployment) (string, error) {
+	value, err := parser.EncodeTenants(d.Tenants())
+	if err != nil {
+		return "", err
+	}
+	before, isStored := stored[keys.TenantsKey()]
+	if len(value) == 0 {
+		if isStored {
+			p.txn.Delete(keys.TenantsKey())
+		}
+		return "", nil
+	}
+	if string(before) != string(value) {
+		p.txn.Put(keys.TenantsKey(), value)
+	}
+	return contentHash(value), nil
+}
+
 func (p *Plan) deleteServices(keys Keys, stored map[string][]byte, hashes map[string]string) {
 	for key := range stored {
 		name, ok := keys.ServiceName(key)
@@ -82,7 +105,7 @@
 	}
 }
 
-func (p *Plan) putManifestAndRecord(keys Keys, d descriptor.Deployment, number int64, change descriptor.Change, hashes map[string]string) error {
+func (p *Plan) putManifestAndRecord(keys Keys, d descriptor.Deployment, number int64, change descriptor.Change, hashes contentHashes) error {
 	value, err := encodeManifest(d, number, change, hashes)
 	if err != nil {
 		return err
--- a/parser/deployment.go
+++ b/parser/deployment.go
@@ -29,8 +29,9 @@
 	checkName(violations, "deployment", name)
 	budget := parseMeasurementBudget(&root)
 	services := parseServices(&root)
+	tenants := parseTenantsOf(&root)
 	root.reportUnknown()
-	return descriptor.NewDeployment(name, budget, services), violations.err(source)
+	return descriptor.NewDeployment(name, budget, services).WithTenants(tenants), violations.err(source)
 }
 
 // ParseService parses and validates a service as stored. The source is the name of
@@ -116,13 +117,18 @@
 	if deadline > 0 && deadline < target.Latency() {
 		o.violations.add(o.pathOf("deadline"), "%s is shorter than the target's latency %s", deadline, target.Latency())
 	}
-	o.reportUnknown()
-	return descriptor.NewClass(name,
+	options := []descriptor.ClassOption{
 		descriptor.WithMethods(methods...),
 		descriptor.WithPaths(paths...),
 		descriptor.WithCallSemantics(semantics),
 		descriptor.WithTarget(target),
-		descriptor.WithDeadline(deadline))
+		descriptor.WithDeadline(deadline),
+	}
+	if o.boolean("public", false) {
+		options = append(options, descriptor.WithPublicAccess())
+	}
+	o.reportUnknown()
+	return descriptor.NewClass(name, options...)
 }
 
 func parsePaths(o *object) []string {
--- a/parser/encode.go
+++ b/parser/encode.go
@@ -19,6 +19,7 @@
 	Repeat   string        `json:"repeat"`
 	Target   targetMessage `json:"target"`
 	Deadline string        `json:"deadline"`
+	Public   bool          `json:"public,omitempty"`
 }
 
 type serviceMessage struct {
@@ -35,6 +36,7 @@
 	Deployment string                    `json:"deployment"`
 	Measuring  measurementBudgetMessage  `json:"measuring"`
 	Services   map[string]serviceMessage `json:"services"`
+	Tenants    map[string]tenantMessage  `json:"tenants,omitempty"`
 }
 
 // EncodeDeployment returns d as indented JSON that can be parsed again.
@@ -43,6 +45,7 @@
 		Deployment: d.Name(),
 		Measuring:  measurementBudgetMessage{BytesPerSecond: d.MeasurementBudget().BytesPerSecond(), WorkerShare: d.MeasurementBudget().WorkerShare()},
 		Services:   map[string]serviceMessage{},
+		Tenants:    newTenantMessages(d.Tenants()),
 	}
 	for _, s := range d.Services() {
 		message.Services[string(s.Name())] = newServiceMessage(s)
@@ -73,6 +76,7 @@
 			Repeat:   descriptor.CallSemanticsText(c.CallSemantics()),
 			Target:   targetMessage{Latency: c.Target().Latency().String(), Quantile: c.Target().Quantile()},
 			Deadline: c.Deadline().String(),
+			Public:   c.IsPublic(),
 		}
 	}
 	return message
--- a/parser/object.go
+++ b/parser/object.go
@@ -217,6 +217,19 @@
 	return number
 }
 
+func (o *object) boolean(key string, defaultValue bool) bool {
+	value, ok := o.consume(key)
+	if !ok {
+		return defaultValue
+	}
+	var flag bool
+	if err := json.Unmarshal(value, &flag); err != nil {
+		o.violations.add(o.pathOf(key), "must be true or false, got %s", excerpt(value))
+		return defaultValue
+	}
+	return flag
+}
+
 func (o *object) fraction(key string, defaultValue float64) float64 {
 	value, ok := o.consume(key)
 	if !ok {
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -108,6 +108,7 @@
 	tests := []struct{ example, schema string }{
 		{"authority.json", "configuration.schema.json"},
 		{"association.json", "configuration.schema.json"},
+		{"tenants.json", "configuration.schema.json"},
 		{"instance.json", "settings.schema.json"},
 	}
 	for _, test := range tests {
@@ -139,7 +140,7 @@
 }
 
 func FuzzDeployment(f *testing.F) {
-	for _, name := range []string{"authority.json", "association.json"} {
+	for _, name := range []string{"authority.json", "association.json", "tenants.json"} {
 		data, err := os.ReadFile("../examples/" + name)
 		if err != nil {
 			f.Fatal(err)
