--- a/listener/credential_test.go
+++ b/listener/credential_test.go
@@ -213,3 +213,35 @@
 		})
 	}
 }
+
+// Measures what a key costs a call, beside the same call without tenants.
+func BenchmarkCallWithAKey(b *testing.B) {
+	tests := []struct {
+		name    string
+		tenants []descriptor.Tenant
+	}{
+		{"no tenants", nil},
+		{"a tenant", []descriptor.Tenant{acme}},
+	}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			address := startDialectListenerFor(qt.New(b), tenantDeployment(test.tenants...), func(w http.ResponseWriter, r *http.Request) { writeSigned(w, r, "good") })
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+			defer client.CloseIdleConnections()
+			request, err := http.NewRequest(http.MethodGet, "http://"+address+"/a/1", http.NoBody)
+			qt.Assert(b, err, qt.IsNil)
+			request.Host = "h.example"
+			request.Header.Set("X-Request-Id", "1")
+			request.Header.Set("Authorization", "Bearer k-1")
+			b.ReportAllocs()
+			for b.Loop() {
+				response, err := client.Do(request)
+				if err != nil || response.StatusCode != http.StatusOK {
+					b.Fatal(response, err)
+				}
+				io.Copy(io.Discard, response.Body) //nolint:errcheck // Only the time counts.
+				response.Body.Close()
+			}
+		})
+	}
+}
