--- a/scheduler/limit_terms.go
+++ b/scheduler/limit_terms.go
@@ -35,7 +35,7 @@
 	}
 	for _, tenant := range s.Deployment().Tenants() {
 		if tenant.RateLimit().IsLimited() {
-			t.parts[registrar.Hash(tenant.Name())] = apportioner.Divide(tenant.RateLimit(), tolerance)
+			t.parts[tenant.Hash()] = apportioner.Divide(tenant.RateLimit(), tolerance)
 		}
 	}
 	if len(t.parts) == 0 {
@@ -96,7 +96,8 @@
 
 // localCalls returns how many calls of the tenant this instance may admit in a window
 // without a token. Its rank among all instances is another one for each tenant.
-func (t *limitTerms) localCalls(name descriptor.TenantName) int {
+func (t *limitTerms) localCalls(tenant *descriptor.Tenant) int {
+	name := tenant.Name()
 	if calls, ok := t.calls.Load(name); ok {
 		return calls.(int)
 	}
@@ -108,7 +109,7 @@
 			rank++
 		}
 	}
-	calls := t.parts[registrar.Hash(name)].LocalOf(rank, len(instances))
+	calls := t.parts[tenant.Hash()].LocalOf(rank, len(instances))
 	t.calls.Store(name, calls)
 	return calls
 }
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -63,7 +63,7 @@
 	}
 	now := l.now()
 	l.usedAt.Store(int64(now))
-	hash := registrar.Hash(request.Tenant().Name())
+	hash := request.Tenant().Hash()
 	verdict := l.charger.Charge(now, hash)
 	if _, ok := verdict.(charger.Charged); !ok {
 		l.refusals.record(now, request.Tenant().Name(), verdict, l.charger.State(now, hash), l.ownerID())
@@ -76,8 +76,8 @@
 	if !tenant.RateLimit().IsLimited() {
 		return true
 	}
-	calls := l.current().localCalls(tenant.Name())
-	return l.local.Admit(l.now(), registrar.Hash(tenant.Name()), calls)
+	calls := l.current().localCalls(tenant)
+	return l.local.Admit(l.now(), tenant.Hash(), calls)
 }
 
 // unknown rejects a call that could not be charged.
