Bound the local allowance by the limit in force, and count any tenant's refusals

Cause, from reading: an instance kept the local allowance of a higher limit after the limit had fallen; the counter of refused calls panicked for a tenant with a quote in its name; each refused call took the mutex that the owner answers requests under. Change: a ring takes the size of the limit in force; labels are built in one place, without characters that need escapes; the owner is looked up only for a line that is logged.

--- a/charger/charger_test.go
+++ b/charger/charger_test.go
@@ -142,6 +142,39 @@
 	}
 }
 
+// Guards against an allowance that stays as large as it was under a higher limit, and against
+// one that starts again when it changes.
+func TestLocalAllowanceChanges(t *testing.T) {
+	const window = 5 * time.Second
+	tests := []struct {
+		name          string
+		before, after int
+		at            time.Duration // Of the calls after the change.
+		want          int           // Of them, how many are admitted.
+	}{
+		{"smaller, in the window", 8, 2, window / 2, 0},
+		{"smaller, after the window", 8, 2, 2 * window, 2},
+		{"larger, in the window", 2, 8, window / 2, 6},
+		{"larger, after the window", 2, 8, 2 * window, 8},
+		{"none any more", 2, 0, 2 * window, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := charger.NewLocal(window)
+			for n := range test.before + 1 { // The last one is refused.
+				l.Admit(time.Duration(n), tenant, test.before)
+			}
+			got := 0
+			for range 20 {
+				if l.Admit(test.at, tenant, test.after) {
+					got++
+				}
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
 // BenchmarkCharge measures what a call pays for the check.
 func BenchmarkCharge(b *testing.B) {
 	c := filled(1<<15, false)
--- a/charger/local.go
+++ b/charger/local.go
@@ -1,6 +1,8 @@
 package charger
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,31 +40,42 @@
 	return l.ringOf(tenant, calls).admit(now, l.window)
 }
 
-// ringOf returns the tenant's ring. A ring of another size starts full, as the calls before
-// are not known any more.
+// ringOf returns the tenant's ring. One of another size takes over the latest calls of the
+// former one.
 func (l *Local) ringOf(tenant uint32, calls int) *ring {
-	if r := (*l.rings.Load())[tenant]; r != nil && len(r.times) >= calls {
+	if r := (*l.rings.Load())[tenant]; r != nil && len(r.times) == calls {
 		return r
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	old := *l.rings.Load()
-	if r := old[tenant]; r != nil && len(r.times) >= calls {
+	if r := old[tenant]; r != nil && len(r.times) == calls {
 		return r
 	}
-	r := &ring{times: make([]atomic.Int64, calls)}
-	for n := range r.times {
-		r.times[n].Store(never)
-		if old[tenant] != nil && n < len(old[tenant].times) {
-			r.times[n].Store(old[tenant].times[n].Load())
+	r := newRing(calls, old[tenant])
+	rings := maps.Clone(old)
+	rings[tenant] = r
+	l.rings.Store(&rings)
+	return r
+}
+
+// newRing returns a ring of the size with the latest times of the former one, if there is
+// one. The oldest time comes first.
+func newRing(calls int, former *ring) *ring {
+	times := make([]int64, calls)
+	for n := range times {
+		times[n] = never
+	}
+	if former != nil {
+		for n := range former.times {
+			times = append(times, former.times[n].Load())
 		}
 	}
-	rings := make(map[uint32]*ring, len(old)+1)
-	for t, o := range old {
-		rings[t] = o
+	slices.Sort(times)
+	r := &ring{times: make([]atomic.Int64, calls)}
+	for n, at := range times[len(times)-calls:] {
+		r.times[n].Store(at)
 	}
-	rings[tenant] = r
-	l.rings.Store(&rings)
 	return r
 }
 
--- a/descriptor/tenant.go
+++ b/descriptor/tenant.go
@@ -3,11 +3,23 @@
 import (
 	"crypto/sha256"
 	"slices"
+	"strings"
 )
 
 // TenantName is the name of a tenant, unique within a deployment.
 type TenantName string
 
+// Label returns the name as the value of a metric's label. Characters that would need
+// escapes become underscores.
+func (n TenantName) Label() string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == '"' || r == '\\' || r == 0x7f {
+			return '_'
+		}
+		return r
+	}, string(n))
+}
+
 // KeyDigest is the SHA-256 digest of an API key. Keys themselves are not kept.
 type KeyDigest [sha256.Size]byte
 
--- a/dispatcher/tenant_counters.go
+++ b/dispatcher/tenant_counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -46,7 +45,7 @@
 		if next == nil {
 			next = map[descriptor.TenantName]*metrics.Counter{}
 		}
-		next[name] = newTenantCounter(tenantLabel(name))
+		next[name] = newTenantCounter(name.Label())
 		if t.requests.CompareAndSwap(old, &next) {
 			return next[name]
 		}
@@ -59,14 +58,3 @@
 func newTenantCounter(label string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`burdocklane_tenant_requests_total{tenant="` + label + `"}`)
 }
-
-// tenantLabel returns the name as the value of a label. Characters that would need escapes
-// become underscores.
-func tenantLabel(name descriptor.TenantName) string {
-	return strings.Map(func(r rune) rune {
-		if r < ' ' || r == '"' || r == '\\' || r == 0x7f {
-			return '_'
-		}
-		return r
-	}, string(name))
-}
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -66,7 +66,9 @@
 	hash := registrar.Hash(request.Tenant().Name())
 	verdict := l.charger.Charge(now, hash)
 	if _, ok := verdict.(charger.Charged); !ok {
-		l.refusals.record(now, request.Tenant().Name(), verdict, l.charger.State(now, hash), l.ownerID())
+		if since, ok := l.refusals.count(now, request.Tenant().Name(), verdict); ok {
+			l.refusals.record(now, request.Tenant().Name(), since, verdict, l.charger.State(now, hash), l.ownerID())
+		}
 	}
 	return verdict
 }
--- a/scheduler/refusal_log.go
+++ b/scheduler/refusal_log.go
@@ -36,12 +36,8 @@
 	since     int // Refusals since the last log line.
 }
 
-// record logs a refusal with what decided it, but not each one of a crowd.
-func (r *refusalLog) record(now time.Duration, tenant descriptor.TenantName, v charger.Verdict, s charger.State, owner registrar.InstanceID) {
-	since, ok := r.count(now, tenant, v)
-	if !ok {
-		return
-	}
+// record logs calls that were refused since the last log line, with what decided the last one.
+func (r *refusalLog) record(now time.Duration, tenant descriptor.TenantName, since int, v charger.Verdict, s charger.State, owner registrar.InstanceID) {
 	reason := "over-limit"
 	if _, ok := v.(charger.Short); ok {
 		reason = "limit-unknown"
@@ -84,7 +80,7 @@
 	if r.tenants == nil {
 		r.tenants = map[descriptor.TenantName]*tenantRefusals{}
 	}
-	label := `{tenant="` + string(tenant) + `"}`
+	label := `{tenant="` + tenant.Label() + `"}`
 	t := &tenantRefusals{
 		overLimit: metrics.GetOrCreateCounter("burdocklane_over_limit_total" + label),
 		short:     metrics.GetOrCreateCounter("burdocklane_limit_unknown_total" + label),
