Let quiet tenants cost no messages, and tenants with calls go first

Cause: a scheduler asked each second for the reserve of every quiet tenant that it could not have whole; with many tenants these requests filled the datagrams and held up those of tenants with calls. Change: such requests end after a few; tenants with calls go first in a datagram.

--- a/charger/account.go
+++ b/charger/account.go
@@ -23,8 +23,11 @@
 	riseWeight = 0.5
 	fallWeight = 0.1
 	// askAgainInterval is the time between two requests for the reserve of a tenant without
-	// calls.
-	askAgainInterval = time.Second
+	// calls. After maxRequests, or maxRequestsWithToken if it has one, none is made until its
+	// next call: quiet tenants cost no messages.
+	askAgainInterval     = time.Second
+	maxRequests          = 10
+	maxRequestsWithToken = 3
 	// returnFactor times what a holder wants is what it keeps of a tenant's tokens.
 	returnFactor = 1.5
 	// unknown is the value of known while the owner may know something else.
@@ -49,6 +52,7 @@
 	reported int
 	wanted   int
 	asked    time.Duration // When the last request had the tenant.
+	requests int           // Since the last call.
 }
 
 // period is the time between two reports of an account's balance to the owner. A token that
@@ -114,19 +118,42 @@
 	}
 }
 
-// isDue reports whether the next request has to have the tenant.
-func (a *account) isDue(now time.Duration, calls int64) bool {
+// due says whether the next request has to have a tenant: notDue, dueForReserve or dueForCalls,
+// which goes first.
+type due int
+
+const (
+	notDue due = iota
+	dueForReserve
+	dueForCalls
+)
+
+func (a *account) due(now time.Duration, calls int64) due {
+	if calls > 0 {
+		a.requests = 0
+	}
 	balance := int(a.balance.Load())
-	if balance != a.known {
-		return balance > 0 || a.known > 0 || calls > 0 || now-a.asked >= askAgainInterval
+	limit := maxRequests
+	if balance > 0 {
+		limit = maxRequestsWithToken
+	}
+	changed := balance != a.known && (balance > 0 || a.known > 0)
+	switch {
+	case !changed && balance >= a.wanted:
+		return notDue
+	case changed || calls > 0:
+		return dueForCalls
+	case a.requests < limit && now-a.asked >= askAgainInterval:
+		return dueForReserve
 	}
-	return balance < a.wanted && (calls > 0 || now-a.asked >= askAgainInterval)
+	return notDue
 }
 
 func (a *account) demand(now time.Duration) granter.Demand {
 	a.beginPeriod()
 	a.reported = int(min(a.balance.Load(), math.MaxUint16))
 	a.known, a.asked = unknown, now
+	a.requests++
 	return granter.NewDemand(a.tenant, a.reported, a.wanted)
 }
 
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -196,18 +196,35 @@
 	c.epoch = epoch
 	elapsed := now - c.collectedAt
 	c.collectedAt = now
-	var demands []granter.Demand
+	var forCalls, forReserve []*account
 	for n := range c.order {
 		a := c.order[(c.next+n)%len(c.order)]
 		calls := a.observe(elapsed, isScheduler)
 		a.giveBack()
 		if isNewOwner {
-			a.known = unknown
+			a.known, a.requests = unknown, 0
+		}
+		switch d := a.due(now, calls); {
+		case d == dueForCalls:
+			forCalls = append(forCalls, a)
+		case d == dueForReserve || isNewOwner && a.wanted > 0:
+			forReserve = append(forReserve, a)
+		case isNewOwner:
+			a.void()
 		}
+	}
+	return c.demand(now, append(forCalls, forReserve...), limit, isNewOwner)
+}
+
+// demand returns the demands of the first accounts, at most limit. A new owner would not know
+// of the tokens of the others.
+func (c *Charger) demand(now time.Duration, accounts []*account, limit int, isNewOwner bool) []granter.Demand {
+	var demands []granter.Demand
+	for n, a := range accounts {
 		switch {
-		case len(demands) < limit && (a.isDue(now, calls) || isNewOwner && a.wanted > 0):
+		case n < limit:
 			demands = append(demands, a.demand(now))
-		case isNewOwner: // The owner would not know of the tokens.
+		case isNewOwner:
 			a.void()
 		}
 	}
