--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -91,6 +91,16 @@
 			[]recorder.Decision{decision("x", 5, "refuse", "instance-stops", target)},
 			"rejected, not run: the instance was stopping",
 		},
+		{
+			"a tenant beyond its limit",
+			[]recorder.Decision{decision("x", 5, "refuse", "over-limit", target)},
+			"rejected, not run: its tenant had used up the rate limit",
+		},
+		{
+			"a limit that nobody knows",
+			[]recorder.Decision{decision("x", 25, "refuse", "limit-unknown", recorder.WithTimes(25*time.Millisecond, 25*time.Millisecond))},
+			"rejected, not run: no token of its tenant's rate limit was to be had, after waiting 25.0 ms",
+		},
 		{
 			"no region in common",
 			[]recorder.Decision{decision("x", 5, "refuse", "no-allowed-region", target)},
--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -130,6 +130,10 @@
 		return fmt.Sprintf("the class and the tenant have no region in common in which a call of %s may be processed", f.Service)
 	case "no-allowed-worker":
 		return fmt.Sprintf("no worker of %s is left in the regions in which the call may be processed, outside evacuated zones", f.Service)
+	case "over-limit":
+		return "its tenant had used up the rate limit, which all instances share"
+	case "limit-unknown":
+		return fmt.Sprintf("no token of its tenant's rate limit was to be had, after waiting %.1f ms, though the limit may not be used up: the scheduler or the owner of the limits was not reached, or it had none left", f.WaitedMs)
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
 	case "key-missing":
