--- a/explainer/timeline.go
+++ b/explainer/timeline.go
@@ -138,6 +138,10 @@
 		return fmt.Sprintf("no worker of %s is left in the regions in which the call may be processed, outside evacuated zones", f.Service)
 	case "callers-hold-too-much":
 		return "callers held as much of the instance as they may"
+	case "over-limit":
+		return "its tenant had used up the rate limit, which all instances share"
+	case "limit-unknown":
+		return fmt.Sprintf("no token of its tenant's rate limit was to be had, after waiting %.1f ms, though the limit may not be used up: the scheduler or the owner of the limits was not reached, or it had none left", f.WaitedMs)
 	case "instance-stops":
 		return "the instance was stopping, and the call could not have ended before that"
 	case "key-missing":
