Count a refunded token once, also at the moment of a report

Cause: a holder began a period and read its balance in two steps; a token taken between them was reported as used and could be given back in the new period. Change: balance and period are one word.

--- a/charger/account.go
+++ b/charger/account.go
@@ -39,7 +39,7 @@
 type account struct {
 	tenant  uint32
 	period  atomic.Pointer[period]
-	balance atomic.Int64
+	stock   stock
 	calls   atomic.Int64 // Since the last request.
 	refused atomic.Int64 // Since the last reply.
 	scarce  atomic.Bool  // The tenant has used up its limit, as the owner last said.
@@ -57,7 +57,10 @@
 
 // period is the time between two reports of an account's balance to the owner. A token that
 // was used in it can be given back in it.
-type period struct{ account *account }
+type period struct {
+	account *account
+	number  uint32
+}
 
 func newAccount(tenant uint32) *account {
 	a := &account{tenant: tenant, known: unknown, asked: -askAgainInterval}
@@ -65,25 +68,27 @@
 	return a
 }
 
-func (a *account) beginPeriod() { a.period.Store(&period{account: a}) }
+// beginPeriod begins a period, and returns the tokens at that moment.
+func (a *account) beginPeriod() (tokens int64) {
+	number, tokens := a.stock.beginPeriod()
+	a.period.Store(&period{account: a, number: number})
+	return tokens
+}
 
 // void drops all tokens.
 func (a *account) void() {
-	a.beginPeriod()
-	a.balance.Store(0)
+	a.period.Store(&period{account: a, number: a.stock.void()})
 }
 
-// take uses a token, and returns how many are left. It returns false if there was none.
-func (a *account) take() (left int64, ok bool) {
-	for {
-		balance := a.balance.Load()
-		if balance <= 0 {
-			return 0, false
-		}
-		if a.balance.CompareAndSwap(balance, balance-1) {
-			return balance - 1, true
-		}
+// take uses a token. It returns the period in which it can be given back, or nil, and how
+// many tokens are left; and false if there was none.
+func (a *account) take() (p *period, left int64, ok bool) {
+	p = a.period.Load()
+	left, number, ok := a.stock.take()
+	if p.number != number { // A period is just beginning.
+		p = nil
 	}
+	return p, left, ok
 }
 
 // observe updates the rate of the tenant's calls, and what the holder wants.
@@ -107,14 +112,8 @@
 // giveBack reduces the balance to what the holder wants if it is much more. The owner
 // learns of it by the next request.
 func (a *account) giveBack() {
-	for {
-		balance := a.balance.Load()
-		if float64(balance) <= returnFactor*float64(a.wanted) {
-			return
-		}
-		if a.balance.CompareAndSwap(balance, int64(a.wanted)) {
-			return
-		}
+	if float64(a.stock.tokens()) > returnFactor*float64(a.wanted) {
+		a.stock.reduce(int64(a.wanted))
 	}
 }
 
@@ -132,7 +131,7 @@
 	if calls > 0 {
 		a.requests = 0
 	}
-	balance := int(a.balance.Load())
+	balance := int(a.stock.tokens())
 	limit := maxRequests
 	if balance > 0 {
 		limit = maxRequestsWithToken
@@ -150,8 +149,7 @@
 }
 
 func (a *account) demand(now time.Duration) granter.Demand {
-	a.beginPeriod()
-	a.reported = int(min(a.balance.Load(), math.MaxUint16))
+	a.reported = int(min(a.beginPeriod(), math.MaxUint16))
 	a.known, a.asked = unknown, now
 	a.requests++
 	return granter.NewDemand(a.tenant, a.reported, a.wanted)
@@ -159,7 +157,7 @@
 
 // apply adds the tokens that the owner granted for the last request.
 func (a *account) apply(now, elapsed time.Duration, g granter.Grant) {
-	a.balance.Add(int64(g.Tokens()))
+	a.stock.add(g.Tokens())
 	a.known = a.reported + g.Tokens()
 	a.scarce.Store(g.IsExhausted())
 	a.refused.Store(0)
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -86,8 +86,7 @@
 	if int64(now) >= c.validUntil.Load() {
 		return c.short(false)
 	}
-	current := a.period.Load()
-	left, ok := a.take()
+	current, left, ok := a.take()
 	if ok {
 		if left == 0 {
 			c.signal()
@@ -126,9 +125,7 @@
 	if v.period == nil {
 		return
 	}
-	if a := v.period.account; a.period.Load() == v.period {
-		a.balance.Add(1)
-	}
+	v.period.account.stock.giveBack(v.period.number)
 }
 
 // State is what a charger knows of a tenant.
@@ -158,7 +155,7 @@
 		return State{}
 	}
 	return State{
-		tokens: a.balance.Load(), granted: time.Duration(a.granted.Load()),
+		tokens: a.stock.tokens(), granted: time.Duration(a.granted.Load()),
 		valid: int64(now) < c.validUntil.Load(), scarce: a.scarce.Load(),
 	}
 }
--- a/charger/charger_test.go
+++ b/charger/charger_test.go
@@ -1,6 +1,8 @@
 package charger_test
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,6 +26,8 @@
 	return c
 }
 
+type chargedVerdict = charger.Charged
+
 func kindOf(v charger.Verdict) string {
 	switch v.(type) {
 	case charger.Charged:
@@ -87,6 +91,37 @@
 	}
 }
 
+// Guards against a refund at the moment of a report: without grants, what a holder reports
+// never grows.
+func TestRefundsDuringReports(t *testing.T) {
+	charger := filled(1<<14, false)
+	for range 1 << 14 { // The holder wants to keep the tokens.
+		charger.Refund(charger.Charge(0, tenant).(chargedVerdict))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer cancel()
+	for range 4 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				if v, ok := charger.Charge(0, tenant).(chargedVerdict); ok {
+					charger.Refund(v)
+				}
+			}
+		})
+	}
+	held := 1 << 14
+	for n := range 200_000 {
+		for _, d := range charger.Collect(time.Duration(n)*time.Microsecond, 1, 10, true) {
+			if d.Held() > held {
+				t.Fatalf("%d tokens reported after %d", d.Held(), held)
+			}
+			held = d.Held()
+		}
+	}
+}
+
 // Guards against tokens of a larger limit that stay in use under a smaller one.
 func TestSmallerLimitVoidsTokens(t *testing.T) {
 	tests := []struct {
