--- a/charger/account.go
+++ b/charger/account.go
@@ -46,6 +46,7 @@
 	income  atomic.Int64 // Tokens per 1,000 seconds that the owner grants.
 	granted atomic.Int64 // When the owner last granted tokens.
 
+	place    int // In the order of accounts.
 	capacity float64
 	rate     float64 // Calls a second.
 	known    int     // The balance that the owner knows, or unknown.
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -3,7 +3,9 @@
 package charger
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,16 +169,16 @@
 	defer c.mutex.Unlock()
 	old := *c.accounts.Load()
 	accounts := make(map[uint32]*account, len(capacities))
-	c.order = c.order[:0]
-	for tenant, capacity := range capacities {
-		a := old[tenant]
+	c.order, c.next = c.order[:0], 0
+	for place, tenant := range slices.Sorted(maps.Keys(capacities)) {
+		a, capacity := old[tenant], capacities[tenant]
 		if a == nil {
 			a = newAccount(tenant)
 		}
 		if capacity < a.capacity {
 			a.void()
 		}
-		a.capacity = capacity
+		a.capacity, a.place = capacity, place
 		accounts[tenant] = a
 		c.order = append(c.order, a)
 	}
@@ -213,21 +215,22 @@
 	return c.demand(now, append(forCalls, forReserve...), limit, isNewOwner)
 }
 
-// demand returns the demands of the first accounts, at most limit. A new owner would not know
-// of the tokens of the others.
+// demand returns the demands of the first accounts, at most limit; the next request begins
+// with the others. A new owner would not know of their tokens.
 func (c *Charger) demand(now time.Duration, accounts []*account, limit int, isNewOwner bool) []granter.Demand {
-	var demands []granter.Demand
-	for n, a := range accounts {
-		switch {
-		case n < limit:
-			demands = append(demands, a.demand(now))
-		case isNewOwner:
+	included := accounts[:min(limit, len(accounts))]
+	demands := make([]granter.Demand, 0, len(included))
+	for _, a := range included {
+		demands = append(demands, a.demand(now))
+	}
+	if len(included) < len(accounts) {
+		c.next = accounts[len(included)].place
+	}
+	if isNewOwner {
+		for _, a := range accounts[len(included):] {
 			a.void()
 		}
 	}
-	if len(c.order) > 0 {
-		c.next = (c.next + len(demands)) % len(c.order)
-	}
 	return demands
 }
 
