Let each half of the coordinators grant its half of the rates

Change: an owner with exactly half of the parts may use all that it was lent. No other can be confirmed while these last, since each part is lent once.

--- a/granter/model_test.go
+++ b/granter/model_test.go
@@ -268,9 +268,10 @@
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		limit := descriptor.NewRateLimit(rapid.SampledFrom([]float64{1.4, 20, 200}).Draw(rt, "rate"), rapid.SampledFrom([]float64{1, 15, 200, 800}).Draw(rt, "burst"))
 		tolerance := rapid.SampledFrom([]apportioner.Tolerance{{}, pageTolerance()}).Draw(rt, "tolerance")
-		f := newFleet(rng, modelMembers, limit, tolerance)
+		members := rapid.IntRange(modelMembers-1, modelMembers).Draw(rt, "members") // Halves are no majority.
+		f := newFleet(rng, members, limit, tolerance)
 		for range rapid.IntRange(1, 40).Draw(rt, "events") {
-			f.disturb(rapid.IntRange(0, 8).Draw(rt, "event"), rapid.IntRange(0, modelMembers-1).Draw(rt, "node"))
+			f.disturb(rapid.IntRange(0, 8).Draw(rt, "event"), rapid.IntRange(0, members-1).Draw(rt, "node"))
 			if err := f.run(time.Duration(rapid.IntRange(1, 300).Draw(rt, "steps")) * modelStep); err != nil {
 				rt.Fatal(err)
 			}
--- a/granter/owner.go
+++ b/granter/owner.go
@@ -168,7 +168,11 @@
 	}
 	o.confirm(now, 2*votes > len(members), settled)
 	if !o.confirmed {
-		o.authority = authority{share: part(inTouch, members), until: ends[0], members: len(members)}
+		usable := inTouch
+		if 2*votes == len(members) { // Nobody else can be confirmed.
+			usable = votes
+		}
+		o.authority = authority{share: part(usable, members), until: ends[0], members: len(members)}
 		return
 	}
 	o.lapsesAt = ends[votes-len(members)/2-1]
--- a/granter/service_test.go
+++ b/granter/service_test.go
@@ -30,6 +30,7 @@
 		{"one scheduler", descriptor.NewRateLimit(230, 20), 1, 0, 600 * time.Second, nil, 0.001},
 		{"lossy links", descriptor.NewRateLimit(50, 50), 9, 0.025, 600 * time.Second, nil, 0.001},
 		{"a third of the coordinators cut off", descriptor.NewRateLimit(50, 50), 9, 0, 600 * time.Second, func(f *fleet) { f.disturb(3, len(f.nodes)/3) }, 0.01},
+		{"half of the coordinators cut off", descriptor.NewRateLimit(50, 50), 9, 0, 600 * time.Second, func(f *fleet) { f.disturb(3, len(f.nodes)/2) }, 0.01},
 		{"the owner is lost", descriptor.NewRateLimit(50, 50), 9, 0, 600 * time.Second, func(f *fleet) { f.nodes[0].down = true }, 0.01},
 	}
 	for _, test := range tests {
