Count heads while net/http reads ahead, and prefaces of HTTP/2 in parts

Cause: net/http reads a byte ahead in a thread of its own before the handler begins, so that the count of the head had two threads (a data race). A preface of HTTP/2 that arrived in parts was taken for a head: all frames counted as one, twice, and were given back only with the connection. The wrapped connection hid CloseWrite, so that net/http could not end its side before it closes a connection with unread data. Change: the head is complete when the server says so; a mutex guards its count; the preface is matched as it arrives; CloseWrite is passed on.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,24 +22,30 @@
 	growthStep = 8 << 10
 )
 
-var http2Preface = []byte("PRI * HTTP/2.0")
+const (
+	// http2Preface is what a connection of HTTP/2 begins with.
+	http2Preface = "PRI * HTTP/2.0"
+	noPreface    = -1
+)
 
 // errNoRoom is the error of a read for which there is no room.
 var errNoRoom = errors.New("callers hold too much")
 
-// Conn is a caller's connection. Until the handler has the request, what is read counts as
-// a part of its head.
+// Conn is a caller's connection. Until the head of a request is complete, what is read
+// counts as a part of it.
 type Conn struct {
 	net.Conn
 	holding      *shedder.Holding
 	writeTimeout time.Duration
 	isHTTP2      atomic.Bool
-	inBody       atomic.Bool // The handler has the request.
+	inBody       atomic.Bool // The head of the request is complete.
 
 	refusedStreams atomic.Int32 // Since the connection had none.
 
-	// Used only by the thread that reads the head or handles the request.
-	started   bool  // Bytes were read.
+	// Guards the fields below: net/http reads a byte of what follows a request that came
+	// with an earlier one, before its handler has begun.
+	mutex     sync.Mutex
+	preface   int   // How much of the preface of HTTP/2 was read, or noPreface.
 	headBytes int64 // Of the head that is being read, and of its fields.
 	headRoom  int64 // Granted by the shedder for it.
 }
@@ -63,12 +70,11 @@
 
 // countHead counts what was read of a head, and reports whether there is room for it.
 func (c *Conn) countHead(part []byte) bool {
-	if !c.started {
-		c.started = true
-		if bytes.HasPrefix(part, http2Preface) {
-			c.isHTTP2.Store(true)
-			return c.holding.Grow(shedder.HTTP2Bytes)
-		}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.endsPreface(part) {
+		c.isHTTP2.Store(true)
+		return c.holding.Grow(shedder.HTTP2Bytes)
 	}
 	if c.headBytes == 0 {
 		c.holding.Begin(time.Now())
@@ -77,6 +83,32 @@
 	return c.growHead()
 }
 
+// endsPreface reports whether the part, which was read next, completes the preface of
+// HTTP/2. It may arrive in several parts.
+func (c *Conn) endsPreface(part []byte) bool {
+	if c.preface == noPreface {
+		return false
+	}
+	rest := http2Preface[c.preface:]
+	n := min(len(rest), len(part))
+	if string(part[:n]) != rest[:n] {
+		c.preface = noPreface
+		return false
+	}
+	c.preface += n
+	return n == len(rest)
+}
+
+// beginRequest begins a request whose fields hold so much at least, and reports whether
+// there is room for them.
+func (c *Conn) beginRequest(bytes int64) bool {
+	c.inBody.Store(true)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.headBytes = max(c.headBytes, bytes)
+	return c.growHead()
+}
+
 // growHead asks for more room if the head takes more than was granted.
 func (c *Conn) growHead() bool {
 	missing := c.headBytes - freeHeadBytes - c.headRoom
@@ -105,6 +137,8 @@
 // observe gets the states of the connection.
 func (c *Conn) observe(state http.ConnState) {
 	switch state {
+	case http.StateActive: // From here on, net/http reads ahead in a thread of its own.
+		c.inBody.Store(true)
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
@@ -119,6 +153,8 @@
 		c.refusedStreams.Store(0)
 		return
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	c.holding.Shrink(c.headRoom)
 	c.headBytes, c.headRoom = 0, 0
 	c.inBody.Store(false)
@@ -136,6 +172,15 @@
 	return n, err
 }
 
+// CloseWrite lets net/http end its side of a connection before the caller has sent all:
+// closed at once, the connection could be reset before the caller has read the answer.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.holding.Close()
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -30,9 +30,7 @@
 	if r.ProtoMajor > 1 {
 		return beginStream(conn, w, r)
 	}
-	conn.inBody.Store(true)
-	conn.headBytes = max(conn.headBytes, headBytes(r))
-	return &Request{conn: conn, holding: conn.holding}, conn.growHead()
+	return &Request{conn: conn, holding: conn.holding}, conn.beginRequest(headBytes(r))
 }
 
 // headBytes returns what the fields of a head hold at least. It is less than what is
