End connections down to the limit that was reached

Cause: with 4,096 connections and 2,925 sockets, a crowd that reached the sockets had a sixteenth of the higher limit ended, or of a limit that was not reached. Result: TestConnectionsAreEndedByTheLimitThatIsReached, 2 of 4 rows fail before.

--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -164,21 +164,23 @@
 	return count - limit
 }
 
+// aboveLow returns how much to give back if a count exceeds a limit.
+func aboveLow(count, limit int64) int64 {
+	if above(count, limit) <= 0 {
+		return 0
+	}
+	return count - share(limit, lowShare)
+}
+
 // shed ends holdings until each limit that is exceeded has some room again.
 func (s *Shedder) shed(maxBytes int64) {
 	s.shedding.Lock()
 	defer s.shedding.Unlock()
-	excess := s.excess(maxBytes)
-	if !excess.isPositive() {
+	if !s.excess(maxBytes).isPositive() {
 		return // Another thread has made room.
 	}
-	if excess.bytes > 0 {
-		excess.bytes += maxBytes - share(maxBytes, lowShare)
-	}
-	if excess.connections > 0 {
-		limit := max(s.limits.connections, s.limits.sockets)
-		excess.connections += limit - share(limit, lowShare)
-	}
+	excess := NewExcess(aboveLow(s.held.Load(), maxBytes),
+		max(aboveLow(s.connections.Load(), s.limits.connections), aboveLow(s.sockets.Load(), s.limits.sockets)))
 	holdings, candidates := s.candidates()
 	for _, i := range Choose(candidates, excess) {
 		if holdings[i].End() {
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -243,3 +243,28 @@
 	c.Assert(s.Sockets(), qt.Equals, int64(0))
 	c.Assert(s.Connections(), qt.Equals, int64(0))
 }
+
+// Guards against more connections that are ended than the limit that was reached asks for,
+// as another one is higher.
+func TestConnectionsAreEndedByTheLimitThatIsReached(t *testing.T) {
+	const limit = 160
+	tests := []struct {
+		name   string
+		limits shedder.Limits
+	}{
+		{"connections", shedder.NewLimits(0, limit, 0)},
+		{"sockets", shedder.NewLimits(0, 0, limit)},
+		{"sockets, with a higher limit of connections", shedder.NewLimits(0, 10*limit, limit)},
+		{"connections, with a higher limit of sockets", shedder.NewLimits(0, limit, 10*limit)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(test.limits)
+			for range limit + 1 {
+				c.Assert(m.open("idle"), qt.IsNotNil)
+			}
+			c.Assert(m.Connections(), qt.Equals, int64(limit*15/16))
+		})
+	}
+}
