Forget the arrivals of connections that are closed before the server has them

Cause: a connection for which there was no room was closed by acceptor, and no state of it was reported, so that its record among the arrivals was kept for good: memory in a flood.

--- a/listener/arrivals.go
+++ b/listener/arrivals.go
@@ -22,6 +22,7 @@
 type arrival struct {
 	net.Conn
 	received atomic.Bool
+	closed   func()
 }
 
 // Read implements net.Conn.
@@ -33,12 +34,33 @@
 	return n, err
 }
 
+// CloseWrite ends the side of the process, as [acceptor.Conn] does on behalf of net/http.
+func (a *arrival) CloseWrite() error {
+	if half, ok := a.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. A connection that is closed before the server has it, or to
+// make room, has no state that the server reports.
+func (a *arrival) Close() error {
+	a.closed()
+	return a.Conn.Close()
+}
+
 func newArrivals() *arrivals { return &arrivals{removed: make(chan struct{}, 1)} }
 
 // add adds a connection that was accepted, and returns the one to read from.
 func (a *arrivals) add(conn net.Conn) net.Conn {
+	address := conn.RemoteAddr().String()
 	added := &arrival{Conn: conn}
-	a.conns.Store(conn.RemoteAddr().String(), added)
+	added.closed = func() { // A later connection may have the address by now.
+		if a.conns.CompareAndDelete(address, added) {
+			a.signal()
+		}
+	}
+	a.conns.Store(address, added)
 	return added
 }
 
@@ -51,9 +73,13 @@
 
 // remove removes the connection from a remote address.
 func (a *arrivals) remove(address string) {
-	if _, ok := a.conns.LoadAndDelete(address); !ok {
-		return
+	if _, ok := a.conns.LoadAndDelete(address); ok {
+		a.signal()
 	}
+}
+
+// signal says that a connection was removed.
+func (a *arrivals) signal() {
 	select {
 	case a.removed <- struct{}{}:
 	default:
