Keep the connection of a 304 whose header states a body

Cause: the header of a 304 may state the length that 200 would have (RFC 9110, 15.4.5), and no body follows; each such response cost its connection. Change: only a 204 that states a body does. A 304 that sends one all the same is seen by the bytes on the idle connection, as before.

--- a/sender/status.go
+++ b/sender/status.go
@@ -48,7 +48,8 @@
 
 // kindOfStatus returns what follows from the status line and the framing of a response.
 // RFC 9110, section 15, allows 100 to 599. An interim response has no body; 101 has to be
-// asked for by an upgrade, which is not passed on to workers.
+// asked for by an upgrade, which is not passed on to workers. The header of 304 may state
+// the body that 200 would have (RFC 9110, section 15.4.5), and none follows; 204 must not.
 func kindOfStatus(r *http.Response) statusKind {
 	code := r.StatusCode
 	switch {
@@ -60,7 +61,7 @@
 		return invalidStatus{}
 	case code < firstFinalStatus:
 		return interimStatus{}
-	case code == http.StatusNoContent || code == http.StatusNotModified:
+	case code == http.StatusNoContent:
 		return finalStatus{mayHaveExtraBody: hasFraming(r)}
 	}
 	return finalStatus{}
