Read the rest of an unwanted body after the answer

Cause: a caller that sends a body of some MB before it reads was reset with its 401, 404, 413 or 503: the answer closed the connection while the caller was still sending, and only 256 KB were read in 200 ms. Result: TestCallersThatSendAllFirstReadTheAnswer (32 MB), 7 of 7 rows fail before and pass after; the tests of bodies that stop short are unchanged and pass.

--- a/listener/handler.go
+++ b/listener/handler.go
@@ -100,9 +100,7 @@
 	}
 	if r.ContentLength != 0 {
 		if result := h.dispatcher.Check(head); result != nil {
-			h.limitStream(w, r)
-			h.endUnread(w, r)
-			h.writeResultError(w, head.ID(), result)
+			h.answerUnread(w, r, func() { h.writeResultError(w, head.ID(), result) })
 			return
 		}
 	}
@@ -120,11 +118,13 @@
 	done, ok := result.(dispatcher.Answered)
 	if !ok {
 		held.BeginAnswer(0)
-		h.limitStream(w, r)
+		write := func() { h.writeResultError(w, head.ID(), result) }
 		if !body.isRead() {
-			h.endUnread(w, r)
+			h.answerUnread(w, r, write)
+			return
 		}
-		h.writeResultError(w, head.ID(), result)
+		h.limitStream(w, r)
+		write()
 		return
 	}
 	response := x.response(done.Attempt())
--- a/listener/refusal.go
+++ b/listener/refusal.go
@@ -11,10 +11,6 @@
 	"github.com/go-faster/errors"
 )
 
-// unreadTimeout is how long the rest of a body that is not wanted is still read, so that
-// its caller gets to read the answer.
-const unreadTimeout = 200 * time.Millisecond
-
 // bodyLimits returns the limits for the body of a request.
 func (h *Handler) bodyLimits(held *acceptor.Request) bodyLimits {
 	return bodyLimits{maxBuffered: h.limits.MaxReplayBytes(), bufferChunks: h.dialect.bufferChunks, grow: held.Grow}
@@ -29,16 +25,6 @@
 // forwarded.
 const maxAnswerBytes = 64 << 10
 
-// endUnread makes the connection end with the answer to a request whose body is not read.
-// It bounds the time in which net/http reads the rest.
-func (h *Handler) endUnread(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
-		return
-	}
-	closeAfterAnswer(w, r)
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout)) //nolint:errcheck // The connection has ended.
-}
-
 // refuseForRoom refuses a request while callers hold too much.
 func (h *Handler) refuseForRoom(w http.ResponseWriter, r *http.Request, head *classifier.Request) {
 	h.dispatcher.RecordNoRoom(*head)
@@ -48,9 +34,7 @@
 // refuseUnread refuses a request whose body is not read, and ends the connection.
 func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, id string, status int, reason string) {
 	closeAfterAnswer(w, r)
-	h.limitStream(w, r)
-	h.endUnread(w, r)
-	h.writeError(w, id, status, outcomeNotRun, reason)
+	h.answerUnread(w, r, func() { h.writeError(w, id, status, outcomeNotRun, reason) })
 }
 
 // closeAfterAnswer ends the connection with the answer, unless it carries other requests.
--- a/listener/unsent_body_test.go
+++ b/listener/unsent_body_test.go
@@ -107,3 +107,56 @@
 	response := sendRaw(c, address, "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc")
 	c.Assert(response, qt.Contains, "HTTP/1.1 200")
 }
+
+// Guards against a caller that sends its whole body before it reads the answer, and is
+// reset: the body is longer than the buffers of the connection.
+func TestCallersThatSendAllFirstReadTheAnswer(t *testing.T) {
+	const bodyBytes = 32 << 20
+	tests := []struct {
+		name  string
+		start func(c *qt.C) string
+		head  string
+		want  string
+	}{
+		{"no key", startTenants, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\n", " 401 "},
+		{"an unknown key", startTenants, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k-3\r\n", " 401 "},
+		{"no class", startTenants, "POST /b HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k-1\r\n", " 404 "},
+		{"too large", startSmall, "POST /a HTTP/1.1\r\nHost: h\r\n", " 413 "},
+		{"upgrade", startTenants, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nConnection: upgrade\r\nUpgrade: x\r\n", " 501 "},
+		{"no configuration", startUnconfigured, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\n", " 503 "},
+		{"no worker", startWithoutWorker, "POST /a/1 HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k-1\r\n", " 503 "},
+	}
+	body := strings.Repeat("x", bodyBytes)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, err := net.Dial("tcp", test.start(c))
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			c.Assert(conn.SetDeadline(time.Now().Add(unsentTimeout)), qt.IsNil)
+			_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", test.head, bodyBytes, body)
+			c.Assert(err, qt.IsNil)
+			response, err := io.ReadAll(conn)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(response), qt.Contains, test.want)
+		})
+	}
+}
+
+func startTenants(c *qt.C) string {
+	address, _ := startRecordingListener(c, tenantDeployment(acme))
+	return address
+}
+
+func startSmall(c *qt.C) string {
+	address, _ := startListener(c, http.NotFoundHandler(), descriptor.AtMostOnce{})
+	return address
+}
+
+func startUnconfigured(c *qt.C) string {
+	return startDialectListenerFor(c, descriptor.Deployment{})
+}
+
+func startWithoutWorker(c *qt.C) string {
+	return startDialectListenerFor(c, tenantDeployment(acme))
+}
