Don't count the wait for a worker against the caller of an answer

Cause: once an answer had begun, the time for which its worker sent nothing counted as time for which the caller stood still. In a crowd, an ordinary answer of a slow worker was cut before idle connections were closed. Change: the wait for the next part stops the holding's age; a connection of HTTP/2 is kept meanwhile. The caller's own time counts as before.

--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -124,6 +124,23 @@
 	q.unpin()
 }
 
+// BeginWait says that the next part of the answer is waited for, until the function that it
+// returns is called. The request does not grow older meanwhile.
+func (q *Request) BeginWait() (end func()) {
+	if q.holding == nil {
+		return func() {}
+	}
+	q.holding.BeginWait(time.Now())
+	isPinned := q.stream != nil && q.conn.holding.Pin()
+	return func() {
+		now := time.Now()
+		q.holding.EndWait(now)
+		if isPinned {
+			q.conn.holding.Unpin(now)
+		}
+	}
+}
+
 // End gives back what the request held.
 func (q *Request) End() {
 	if q.holding == nil {
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -129,6 +129,7 @@
 	}
 	response := x.response(done.Attempt())
 	held.BeginAnswer(answerBytes(response))
+	response.Body = &awaitedBody{ReadCloser: response.Body, held: held}
 	h.forwardResponse(w, head.ID(), done, response)
 }
 
--- a/listener/refusal.go
+++ b/listener/refusal.go
@@ -16,15 +16,6 @@
 	return bodyLimits{maxBuffered: h.limits.MaxReplayBytes(), bufferChunks: h.dialect.bufferChunks, grow: held.Grow}
 }
 
-// answerBytes returns how much of an answer is kept until the caller has read it.
-func answerBytes(response *http.Response) int64 {
-	return copyBufferBytes + max(0, min(response.ContentLength, maxAnswerBytes))
-}
-
-// maxAnswerBytes is the longest answer that may have been read completely before it is
-// forwarded.
-const maxAnswerBytes = 64 << 10
-
 // refuseForRoom refuses a request while callers hold too much.
 func (h *Handler) refuseForRoom(w http.ResponseWriter, r *http.Request, head *classifier.Request) {
 	h.dispatcher.RecordNoRoom(*head)
--- a/shedder/holding.go
+++ b/shedder/holding.go
@@ -21,6 +21,7 @@
 	bytes        atomic.Int64
 	sockets      atomic.Int64
 	since        atomic.Int64 // In nanoseconds: when it began to stand still.
+	waitSince    atomic.Int64 // In nanoseconds: when it began to wait for a worker, or 0.
 }
 
 // Shedder returns the Shedder of the holding.
@@ -37,6 +38,25 @@
 	h.since.Store(min(now.UnixNano(), h.since.Load()+credit))
 }
 
+// BeginWait says that the process waits for a worker to go on with an answer: the caller
+// is not the one that stands still, until EndWait.
+func (h *Holding) BeginWait(now time.Time) { h.waitSince.Store(now.UnixNano()) }
+
+// EndWait ends a wait.
+func (h *Holding) EndWait(now time.Time) {
+	h.since.Add(now.UnixNano() - h.waitSince.Load())
+	h.waitSince.Store(0)
+}
+
+// standing returns how long the holding has stood still.
+func (h *Holding) standing(now time.Time) time.Duration {
+	until := h.waitSince.Load()
+	if until == 0 {
+		until = now.UnixNano()
+	}
+	return time.Duration(until - h.since.Load())
+}
+
 // Grow adds to the memory that is held, and reports whether there is room for it. It may
 // end other holdings.
 func (h *Holding) Grow(bytes int64) bool {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -193,12 +193,12 @@
 func (s *Shedder) candidates() ([]*Holding, []Candidate) {
 	var holdings []*Holding
 	var candidates []Candidate
-	now := s.now().UnixNano()
+	now := s.now()
 	s.holdings.Range(func(key, _ any) bool {
 		h := key.(*Holding)
 		if h.calls.Load() == 0 {
 			holdings = append(holdings, h)
-			candidates = append(candidates, NewCandidate(h.bytes.Load(), time.Duration(now-h.since.Load()), h.isConnection))
+			candidates = append(candidates, NewCandidate(h.bytes.Load(), h.standing(now), h.isConnection))
 		}
 		return true
 	})
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -268,3 +268,42 @@
 		})
 	}
 }
+
+// Guards against an answer that is cut before idle connections are, as its worker is slow
+// to go on. The time that the caller takes to read counts as before.
+func TestAnswersThatWaitForWorkersDoNotAge(t *testing.T) {
+	const limit = 4
+	tests := []struct {
+		name    string
+		waited  time.Duration // For the worker.
+		reading time.Duration // By the caller, after that.
+		isOver  bool          // The worker goes on.
+		ended   string
+	}{
+		{"the worker is still waited for", time.Minute, 0, false, "idle"},
+		{"the worker has gone on", time.Minute, 0, true, "idle"},
+		{"the caller does not read", 0, time.Minute, true, "answer"},
+		{"the caller does not read after the worker went on", time.Minute, time.Minute, true, "answer"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(shedder.NewLimits(0, limit, 0))
+			answer := m.open("answer")
+			c.Assert(answer.BeginCall(false), qt.IsTrue)
+			answer.BeginAnswer(false, m.now)
+			answer.GrowAlways(32 << 10)
+			for range limit - 1 {
+				m.open("idle")
+			}
+			answer.BeginWait(m.now)
+			m.now = m.now.Add(test.waited)
+			if test.isOver {
+				answer.EndWait(m.now)
+			}
+			m.now = m.now.Add(test.reading)
+			m.open("late")
+			c.Assert(m.ended, qt.DeepEquals, []string{test.ended})
+		})
+	}
+}
