Have one type for each tolerance

platform had copies of limiter.ColdTolerance and apportioner.Tolerance, which bootstrapper translated field by field. Settings now returns the types that are used. No change of behaviour; platform and bootstrapper tests pass.

--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"burdocklane/acceptor"
-	"burdocklane/apportioner"
 	"burdocklane/asserter"
 	"burdocklane/confirmer"
 	"burdocklane/dispatcher"
@@ -163,7 +162,7 @@
 	p.publisher = publisher.New(p.self(),
 		publisher.WithPoolOptions(limiter.WithPolicy(picker.ReportedLoad{}), limiter.WithAssigner(p.requestAssignment),
 			limiter.WithLedger(p.ledger), limiter.WithLeavingGrace(time.Duration(leavingGraceRatio*float64(p.settings.DrainTimeout()))),
-			limiter.WithColdTolerance(limiter.NewColdTolerance(p.settings.ColdTolerance().Factor(), p.settings.ColdTolerance().Calls()))),
+			limiter.WithColdTolerance(p.settings.ColdTolerance())),
 		publisher.WithRetryBudget(publisher.NewRetryBudget(retryBudgetUse*p.settings.RetryBudgetRatio(), retryBudgetUse*p.settings.RetryBudgetExtra())))
 	p.sender = sender.New(
 		sender.WithConnectTimeout(connectTimeout),
@@ -210,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	a, err := scheduler.New(p.self(), p.publisher, p.gossiper.LiveCoordinators, p.log, scheduler.WithLimitTolerance(tolerance(p.settings.LimitTolerance())))
+	a, err := scheduler.New(p.self(), p.publisher, p.gossiper.LiveCoordinators, p.log, scheduler.WithLimitTolerance(p.settings.LimitTolerance()))
 	if err != nil {
 		return err
 	}
@@ -219,10 +218,6 @@
 	return nil
 }
 
-func tolerance(t adapter.LimitTolerance) apportioner.Tolerance {
-	return apportioner.NewTolerance(t.Window(), t.Share(), t.Requests())
-}
-
 // requestAssignment requests an assignment from the region's scheduler. It
 // returns Undecided while the instance is still starting.
 func (p *Process) requestAssignment(ctx context.Context, pool *limiter.Pool, request limiter.Request) limiter.Assignment {
