--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -30,9 +30,7 @@
 	if r.ProtoMajor > 1 {
 		return beginStream(conn, w, r)
 	}
-	conn.inBody.Store(true)
-	conn.headBytes = max(conn.headBytes, headBytes(r))
-	return &Request{conn: conn, holding: conn.holding}, conn.growHead()
+	return &Request{conn: conn, holding: conn.holding}, conn.beginRequest(headBytes(r))
 }
 
 // headBytes returns what the fields of a head hold at least. It is less than what is
@@ -126,6 +124,23 @@
 	q.unpin()
 }
 
+// BeginWait says that the next part of the answer is waited for, until the function that it
+// returns is called. The request does not grow older meanwhile.
+func (q *Request) BeginWait() (end func()) {
+	if q.holding == nil {
+		return func() {}
+	}
+	q.holding.BeginWait(time.Now())
+	isPinned := q.stream != nil && q.conn.holding.Pin()
+	return func() {
+		now := time.Now()
+		q.holding.EndWait(now)
+		if isPinned {
+			q.conn.holding.Unpin(now)
+		}
+	}
+}
+
 // End gives back what the request held.
 func (q *Request) End() {
 	if q.holding == nil {
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -243,3 +243,67 @@
 	c.Assert(s.Sockets(), qt.Equals, int64(0))
 	c.Assert(s.Connections(), qt.Equals, int64(0))
 }
+
+// Guards against more connections that are ended than the limit that was reached asks for,
+// as another one is higher.
+func TestConnectionsAreEndedByTheLimitThatIsReached(t *testing.T) {
+	const limit = 160
+	tests := []struct {
+		name   string
+		limits shedder.Limits
+	}{
+		{"connections", shedder.NewLimits(0, limit, 0)},
+		{"sockets", shedder.NewLimits(0, 0, limit)},
+		{"sockets, with a higher limit of connections", shedder.NewLimits(0, 10*limit, limit)},
+		{"connections, with a higher limit of sockets", shedder.NewLimits(0, limit, 10*limit)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(test.limits)
+			for range limit + 1 {
+				c.Assert(m.open("idle"), qt.IsNotNil)
+			}
+			c.Assert(m.Connections(), qt.Equals, int64(limit*15/16))
+		})
+	}
+}
+
+// Guards against an answer that is cut before idle connections are, as its worker is slow
+// to go on. The time that the caller takes to read counts as before.
+func TestAnswersThatWaitForWorkersDoNotAge(t *testing.T) {
+	const limit = 4
+	tests := []struct {
+		name    string
+		waited  time.Duration // For the worker.
+		reading time.Duration // By the caller, after that.
+		isOver  bool          // The worker goes on.
+		ended   string
+	}{
+		{"the worker is still waited for", time.Minute, 0, false, "idle"},
+		{"the worker has gone on", time.Minute, 0, true, "idle"},
+		{"the caller does not read", 0, time.Minute, true, "answer"},
+		{"the caller does not read after the worker went on", time.Minute, time.Minute, true, "answer"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newMachine(shedder.NewLimits(0, limit, 0))
+			answer := m.open("answer")
+			c.Assert(answer.BeginCall(false), qt.IsTrue)
+			answer.BeginAnswer(false, m.now)
+			answer.GrowAlways(32 << 10)
+			for range limit - 1 {
+				m.open("idle")
+			}
+			answer.BeginWait(m.now)
+			m.now = m.now.Add(test.waited)
+			if test.isOver {
+				answer.EndWait(m.now)
+			}
+			m.now = m.now.Add(test.reading)
+			m.open("late")
+			c.Assert(m.ended, qt.DeepEquals, []string{test.ended})
+		})
+	}
+}
