Let a preview mark no tenant as active, and agree with calls that are ranked

A preview stored the time of the tenant's last call, so that the tenant counted as active for a second and the shares of the others shrank. It also differed from a call of a ranked service: it took no account of the first call's work, nor of the slow worker that a call gets for which there is no room in time.

Lead and IsStarved now only read; Ask marks a tenant as active. Two sums of weights at once can't count a tenant off twice.

--- a/limiter/preview.go
+++ b/limiter/preview.go
@@ -74,23 +74,48 @@
 // Preview returns what the pool itself would decide for the request now. It acquires, counts
 // and queues nothing.
 func (p *Pool) Preview(req Request) Preview {
+	req = p.aged(req)
 	set := p.workerSet.Load()
 	policy := p.policyFor(&req)
 	if _, ok := policy.(picker.RoundRobin); ok {
 		policy = picker.NewRoundRobin(p.roundRobinCounter.Load() + 1)
 	}
-	candidates := p.rankWorkers(policy, &req, set, set.workers)
-	considered := candidates
-	if req.localOnly {
-		considered = p.rankWorkers(policy, &req, set, set.local)
-		if _, refused := decide(considered).(picker.Refuse); refused {
-			considered = candidates
-		} else {
-			others := slices.DeleteFunc(candidates, func(c PreviewedCandidate) bool { return c.worker.Distance() < picker.RemoteDistance })
-			candidates = slices.Concat(considered, others)
+	considered, candidates := p.consider(policy, &req, set)
+	outlook := p.outlook(&req, considered)
+	if refused, ok := outlook.(Refused); ok && refused.reason == ReasonNoRoom {
+		if urgent, ok := p.previewUrgent(req, set); ok {
+			return urgent
 		}
 	}
-	return Preview{outlook: p.outlook(&req, considered), candidates: candidates}
+	return Preview{outlook: outlook, candidates: candidates}
+}
+
+// previewUrgent returns the preview of a call that must not wait for capacity, and false if
+// no worker would get it.
+func (p *Pool) previewUrgent(req Request, set *workerSet) (Preview, bool) {
+	policy := p.reportedLoadPolicy(&req).Uncongested().Urgent()
+	for _, req.lastResort = range []bool{false, true} {
+		considered, candidates := p.consider(policy, &req, set)
+		if _, ok := decide(considered).(picker.Send); ok {
+			return Preview{outlook: WouldSend{worker: considered[0].worker}, candidates: candidates}, true
+		}
+	}
+	return Preview{}, false
+}
+
+// consider returns the workers between which the call is decided, and all workers, in the
+// order of the policy.
+func (p *Pool) consider(policy picker.Policy, req *Request, set *workerSet) (considered, all []PreviewedCandidate) {
+	all = p.rankWorkers(policy, req, set, set.workers)
+	if !req.localOnly {
+		return all, all
+	}
+	considered = p.rankWorkers(policy, req, set, set.local)
+	if _, refused := decide(considered).(picker.Refuse); refused {
+		return all, all
+	}
+	others := slices.DeleteFunc(all, func(c PreviewedCandidate) bool { return c.worker.Distance() < picker.RemoteDistance })
+	return considered, slices.Concat(considered, others)
 }
 
 func (p *Pool) outlook(req *Request, ranked []PreviewedCandidate) Outlook {
@@ -135,10 +160,11 @@
 // the mutex.
 func (p *Pool) outlookByRank(req *Request) Outlook {
 	call := p.rankable(req)
-	w := &waiter{req: *req, rank: call.RankAt(p.Now(), time.Duration(p.meanWork.Load()))}
-	room := p.room(w)
+	meanWork := p.meanWorkWith(call.Work())
+	w := &waiter{req: *req, rank: call.RankAt(p.Now(), meanWork)}
+	room := p.room(p.queue.position(w), meanWork)
 	if _, refused := ranker.Decide(call, room).(ranker.Refuse); refused {
-		return Refused{reason: ReasonNoRoom, retryAfter: max(p.room(nil).Wait(), time.Millisecond)}
+		return Refused{reason: ReasonNoRoom, retryAfter: p.queueWait()}
 	}
 	return WouldWait{ahead: room.Ahead(), upTo: call.MaxWait(req.target)}
 }
--- a/limiter/preview_test.go
+++ b/limiter/preview_test.go
@@ -69,15 +69,18 @@
 	tests := []struct {
 		name   string
 		policy picker.Policy
+		ranks  bool
 	}{
-		{"reported load", picker.ReportedLoad{}},
-		{"shared slots", picker.SharedSlots{}},
-		{"round robin", picker.RoundRobin{}},
-		{"least in flight", picker.LeastInFlight{}},
+		{"reported load", picker.ReportedLoad{}, false},
+		{"reported load, by rank", picker.ReportedLoad{}, true},
+		{"shared slots", picker.SharedSlots{}, false},
+		{"round robin", picker.RoundRobin{}, false},
+		{"least in flight", picker.LeastInFlight{}, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, rapid.MakeCheck(func(t *rapid.T) {
 			p := drawPool(t, test.policy)
+			p.SetRanksCalls(test.ranks)
 			var regions []string
 			if rapid.Bool().Draw(t, "confined") {
 				regions = []string{rapid.SampledFrom([]string{"r", "q", "elsewhere"}).Draw(t, "allowed")}
@@ -193,3 +196,16 @@
 		})
 	}
 }
+
+// Guards against a preview that marks a tenant as active, which takes room from the others.
+func TestPreviewDoesNotActivateTenants(t *testing.T) {
+	c := qt.New(t)
+	asked, previewed := descriptor.NewTenant("asked"), descriptor.NewTenant("previewed")
+	p := newRankingPool(c, 50*time.Millisecond, &asked)
+	reportAll(p, 3, 1)
+	queueInOrder(c, p, []limiter.Request{newRankedRequest(longTarget, longTarget)})
+	before := p.ActiveTenants()
+	p.Preview(newRankedRequest(longTarget, longTarget, limiter.WithTenant(&previewed, true)))
+	c.Assert(p.ActiveTenants(), qt.Equals, before)
+	reportAll(p, 0, 1)
+}
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -25,12 +25,17 @@
 // RanksCalls reports whether the queue is ordered by the rank of the calls.
 func (p *Pool) RanksCalls() bool { return p.ranksCalls.Load() }
 
+// ActiveTenants returns the number of tenants whose share of the room is tracked.
+func (p *Pool) ActiveTenants() int { return p.shares.Tenants() }
+
 // rank gives the call its place in the queue and returns how long it may wait, or why it
 // must not. The caller holds the mutex.
 func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
 	call := p.rankable(&w.req)
-	w.rank = call.RankAt(p.Now(), p.observeWork(call.Work()))
-	room := p.room(w)
+	meanWork := p.meanWorkWith(call.Work())
+	p.meanWork.Store(int64(meanWork))
+	w.rank = call.RankAt(p.Now(), meanWork)
+	room := p.room(p.queue.position(w), meanWork)
 	verdict := ranker.Decide(call, room)
 	w.ranking = rankingSummary{
 		call: call, untilTarget: time.Until(w.req.targetDeadline),
@@ -76,10 +81,16 @@
 	return call
 }
 
-// recordRequest records that a call asks for a slot, unless its caller has come back.
+// recordRequest records that a call asks for a slot. Those whose callers have come back
+// count for their tenants only.
 func (p *Pool) recordRequest(req *Request) {
-	if p.ranksCalls.Load() && !req.noWait && !req.pastTarget() {
-		p.kinds.Ask(req.kind(), p.Now())
+	if !p.ranksCalls.Load() {
+		return
+	}
+	now := p.Now()
+	p.shares.Ask(req.tenant, now)
+	if !req.noWait && !req.pastTarget() {
+		p.kinds.Ask(req.kind(), now)
 	}
 }
 
@@ -94,25 +105,18 @@
 	p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
 }
 
-// observeWork updates the moving average of the calls' work and returns it.
-func (p *Pool) observeWork(work time.Duration) time.Duration {
+// meanWorkWith returns the moving average of the calls' work after another call.
+func (p *Pool) meanWorkWith(work time.Duration) time.Duration {
 	old := p.meanWork.Load()
 	if old == 0 {
 		old = int64(work)
 	}
-	mean := old + int64(workWeight*float64(int64(work)-old))
-	p.meanWork.Store(mean)
-	return time.Duration(mean)
+	return time.Duration(old + int64(workWeight*float64(int64(work)-old)))
 }
 
-// room returns the room for a call, or for any call if w is nil. The caller holds the
-// mutex.
-func (p *Pool) room(w *waiter) ranker.Room {
-	ahead := len(p.queue.waiters)
-	if w != nil {
-		ahead = p.queue.position(w)
-	}
-	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())*p.congestion()/max(p.effectiveSlots(), 1)))
+// room returns the room for a call that goes after others.
+func (p *Pool) room(ahead int, meanWork time.Duration) ranker.Room {
+	return ranker.NewRoom(ahead, time.Duration(float64(meanWork)*p.congestion()/max(p.effectiveSlots(), 1)))
 }
 
 // congestion returns how much slower congested workers are, as all are while calls wait.
@@ -145,7 +149,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return max(p.room(nil).Wait(), time.Millisecond)
+	return p.queueWait()
+}
+
+// queueWait returns when the queued calls are expected to have been served. The caller
+// holds the mutex.
+func (p *Pool) queueWait() time.Duration {
+	room := p.room(len(p.queue.waiters), time.Duration(p.meanWork.Load()))
+	return max(room.Wait(), time.Millisecond)
 }
 
 // mayOvertake reports whether the call goes before all queued calls that a worker could
--- a/sharer/kinds.go
+++ b/sharer/kinds.go
@@ -56,8 +56,13 @@
 }
 
 // IsStarved reports whether the kind has lately been served far less often than all calls.
+// It changes nothing.
 func (k *Kinds) IsStarved(kind Kind) bool {
-	t := k.tallyOf(kind)
+	found, ok := k.kinds.Load(kind)
+	if !ok {
+		return false
+	}
+	t := found.(*tally)
 	asked := t.asked.Load()
 	if asked < minAsked {
 		return false
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -53,15 +53,27 @@
 func (s *Shares) Tenants() int { return int(s.count.Load()) }
 
 // Lead returns by how much the tenant has been given more than its share, up to a second.
+// It changes nothing.
 func (s *Shares) Lead(t *descriptor.Tenant, now time.Duration) time.Duration {
 	if t == nil {
 		return 0
 	}
-	c := s.clockOf(t)
-	c.lastCall.Store(int64(now))
+	c := &s.overflow
+	if found, ok := s.clocks.Load(t.Name()); ok {
+		c = found.(*clock)
+	} else if s.count.Load() < maxTenants {
+		return 0
+	}
 	return max(time.Duration(c.at.Load())-now, 0)
 }
 
+// Ask records that a call of the tenant asks for a slot: the tenant is active.
+func (s *Shares) Ask(t *descriptor.Tenant, now time.Duration) {
+	if t != nil {
+		s.clockOf(t).lastCall.Store(int64(now))
+	}
+}
+
 // Charge records that a call of the tenant is given one of the slots of the service for the
 // duration.
 func (s *Shares) Charge(t *descriptor.Tenant, held time.Duration, slots int, now time.Duration) {
@@ -120,8 +132,9 @@
 	s.clocks.Range(func(name, found any) bool {
 		c := found.(*clock)
 		if now-time.Duration(c.lastCall.Load()) > maxLead && time.Duration(c.at.Load()) <= now {
-			s.clocks.Delete(name)
-			s.count.Add(-1)
+			if s.clocks.CompareAndDelete(name, found) {
+				s.count.Add(-1)
+			}
 			return true
 		}
 		if weight := math.Float64frombits(c.weight.Load()); weight > 0 {
