Learn timeouts per tenant, and take calls for repeats only after refusals

The timeouts of a class were learnt from all callers together. A tenant that sent most calls of a class, with long timeouts, made the calls of other tenants look like repeats, which are ranked as late. A tenant beyond its rate limit stopped the learning for all. A call with a short timeout was aged even where no call had been refused.

Timeouts are now learnt per tenant and class; refusals by a rate limit don't count; and a call is aged only if a call was refused for lack of room within the time that it is taken to have waited.

Three cases of TestRepeatsAreRecognised failed before.

--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -85,8 +85,8 @@
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
 	shares     sharer.Shares
 	kinds      sharer.Kinds
-	patience   sync.Map     // Maps a class's target to its *patience.
-	refusedAt  atomic.Int64 // When a call was last refused.
+	patience   sync.Map     // Maps a patienceKey to its *patience.
+	refusedAt  atomic.Int64 // When a call was last refused for lack of room.
 
 	mutex sync.Mutex // Guards queue; never held while a call runs.
 	queue *queue
@@ -270,7 +270,9 @@
 	}
 	var summary CandidateSummary
 	if p.usesReportedLoad() {
-		return p.noteRefusal(p.acquireAssigned(ctx, p.aged(req), arrival))
+		aged := p.aged(req)
+		p.learnTimeout(&req)
+		return p.noteRefusal(p.acquireAssigned(ctx, aged, arrival))
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		granted, decision := p.pickAndAcquire(p.policy, &req, &summary)
