Bound by the requester's wait how long other regions are asked

In a ranked service the scheduler asks all other regions one after the other, for up to 40 ms each. With two silent regions, a call that may not wait for long was rejected after 80 ms, but its requester gives up after 60 ms: it then took the scheduler of its own region as silent, for 300 ms, and decided itself.

A request that is withdrawn while its grant is being recorded frees the slot at once, not when the call's deadline has passed. That race has no test.

TestSilentRegionsDoNotDelayRejections failed before.

--- /dev/null
+++ b/scheduler/remote_test.go
@@ -0,0 +1,64 @@
+package scheduler_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"burdocklane/limiter"
+	"burdocklane/tracker"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Load: too little room, and the schedulers of all other regions are silent. Their silence
+// must not delay the rejection of a call that may not wait for long, as its requester would
+// then take the scheduler of its own region as silent too.
+func TestSilentRegionsDoNotDelayRejections(t *testing.T) {
+	tests := []struct {
+		name   string
+		target time.Duration
+		left   time.Duration
+		asked  int
+	}{
+		{"a late call", 100 * time.Millisecond, 0, 1},
+		{"a call that may wait", time.Minute, time.Minute, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newThreeRegions(c)
+			r.schedulers[1].Close()
+			r.schedulers[2].Close()
+			p := r.pools[0]
+			p.SetRanksCalls(true)
+			for _, w := range p.Workers() {
+				p.RecordReport(w, tracker.NewReport(3, 0, 3, 1, p.Now()))
+			}
+			before := countAsked(c)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			now := time.Now()
+			request := limiter.NewRequest(test.target, now.Add(4*time.Minute)).WithTargetDeadline(now.Add(test.left))
+			ended := make(chan limiter.Assignment, 1)
+			go func() { ended <- r.schedulers[0].Assign(ctx, p, request) }()
+			if test.left > 0 {
+				deadline := time.Now().Add(10 * time.Second)
+				for countAsked(c)-before < test.asked {
+					c.Assert(time.Now().Before(deadline), qt.IsTrue)
+					time.Sleep(time.Millisecond)
+				}
+				cancel()
+			}
+			<-ended
+			c.Assert(countAsked(c)-before, qt.Equals, test.asked)
+		})
+	}
+}
+
+func countAsked(c *qt.C) int {
+	count, err := strconv.Atoi(requestsAsked())
+	c.Assert(err, qt.IsNil)
+	return count
+}
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -167,10 +167,11 @@
 	}
 }
 
-// requestRemote requests spare capacity from a scheduler of another region. If the own
-// region has no usable worker, it asks the others one after another: the call has no
-// other way to be served.
+// requestRemote requests spare capacity from a scheduler of another region. It asks the
+// others one after another if the own region has no usable worker, as the call has no other
+// way to be served, and in a pool that ranks calls while the requester surely still waits.
 func (s *Scheduler) requestRemote(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	until := time.Now().Add(max(queuedTimeout, p.MaxWait(request)) - remoteTimeout)
 	for region, candidates := range s.current().coordinators { // Map order: a random region first.
 		if !request.Regions().Allows(region) {
 			continue
@@ -180,7 +181,10 @@
 			continue
 		}
 		assignment := s.sendRequest(ctx, p, request.WithoutWaiting(), schedulerOf(candidates, p, candidates[0]), remoteTimeouts)
-		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil || p.HasUsableLocalWorker() && !p.RanksCalls() {
+		if _, ok := assignment.(limiter.Assigned); ok || ctx.Err() != nil {
+			return assignment
+		}
+		if p.HasUsableLocalWorker() && (!p.RanksCalls() || time.Now().After(until)) {
 			return assignment
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -259,10 +259,14 @@
 }
 
 // grantQueued is grantSlot for a call that was queued, unless its requester has withdrawn
-// the request: the token of such a call is given back.
+// the request: the token of such a call is given back. If it withdraws while the grant is
+// recorded, the withdrawal may have found none.
 func (s *Scheduler) grantQueued(ctx context.Context, m assignmentRequest, service *service, assignment limiter.Assignment, charge charger.Charged, to *net.UDPAddr) {
 	if ctx.Err() == nil {
 		s.grantSlot(m, service, assignment, charge, to)
+		if ctx.Err() != nil {
+			s.release(m.Call, limiter.OutcomeNone)
+		}
 		return
 	}
 	s.limits.charger.Refund(charge)
