Count no slots of cold and evacuated workers that get no calls as room

The expected wait counted all slots of cold workers, of which only the allowance gives calls: beside nine cold workers it was 0.4 s where one alone has 3.4 s, so that calls waited in vain. The shares of tenants counted the slots of evacuated workers. The queue took a cold worker without an allowed call for a free one, and tried its calls there.

--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -55,7 +55,7 @@
 	workers          []*tracker.Worker
 	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
-	localSlots       int
+	localSlots       int // Without those of evacuated zones.
 	workersWithShare int // Workers at which the instance has a slot.
 	hasEvacuated     bool
 	holding          holding
@@ -205,7 +205,9 @@
 		next.workers = append(next.workers, w)
 		if w.Distance() < picker.RemoteDistance {
 			next.local = append(next.local, w)
-			next.localSlots += member.Slots()
+			if !member.IsEvacuated() {
+				next.localSlots += member.Slots()
+			}
 		}
 	}
 	p.workerSet.Store(next)
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -116,7 +116,8 @@
 
 // room returns the room for a call that goes after others.
 func (p *Pool) room(ahead int, meanWork time.Duration) ranker.Room {
-	return ranker.NewRoom(ahead, time.Duration(float64(meanWork)*p.congestion()/max(p.effectiveSlots(), 1)))
+	congested := time.Duration(float64(meanWork) * p.congestion())
+	return ranker.NewRoom(ahead, time.Duration(float64(congested)/max(p.effectiveSlots(congested), 1)))
 }
 
 // congestion returns how much slower congested workers are, as all are while calls wait.
@@ -128,14 +129,15 @@
 	return (state == picker.Usable || state == picker.Suspect) && Constraint{}.permits(w)
 }
 
-// effectiveSlots returns the number of slots in the instance's region, where a slot of a
-// worker that takes twice as long counts as half a slot.
-func (p *Pool) effectiveSlots() float64 {
-	now := p.Now()
+// effectiveSlots returns the number of slots in the instance's region for calls that
+// occupy one for so long. A slot of a worker that takes twice as long counts as half a slot, and a cold worker
+// has no more slots than its allowance fills.
+func (p *Pool) effectiveSlots(held time.Duration) float64 {
+	now, set := p.Now(), p.workerSet.Load()
 	slots := 0.0
-	for _, w := range p.workerSet.Load().local {
+	for _, w := range set.local {
 		if p.isRoom(w, now) {
-			slots += float64(w.Member().Slots()) / w.Load(now).Slowdown()
+			slots += min(float64(w.Member().Slots())/w.Load(now).Slowdown(), p.coldSlots(w, set.holding, held, now))
 		}
 	}
 	return slots
@@ -203,11 +205,11 @@
 // fastestFreeWorker returns the lowest slowdown to expect of a call at a worker that would
 // not queue it, or infinity if there is none.
 func (p *Pool) fastestFreeWorker() float64 {
-	now := p.Now()
+	now, set := p.Now(), p.workerSet.Load()
 	fastest := math.Inf(1)
-	for _, w := range p.workerSet.Load().local {
+	for _, w := range set.local {
 		load := p.workerLoad(w, now)
-		if !load.Saturated() && p.isRoom(w, now) {
+		if !load.Saturated() && p.isRoom(w, now) && p.coldAccessTo(w, set.holding, now).hasCall() {
 			fastest = min(fastest, load.ExpectedLatency(time.Second).Seconds())
 		}
 	}
--- a/limiter/warmup.go
+++ b/limiter/warmup.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"burdocklane/descriptor"
@@ -102,6 +103,9 @@
 	accessClosed             // Another instance holds the allowance of the cold worker.
 )
 
+// hasCall reports whether a call may be sent now.
+func (a coldAccess) hasCall() bool { return a == accessFree || a == accessLimited }
+
 // coldAccessTo returns how this instance may use the worker now.
 func (p *Pool) coldAccessTo(w *tracker.Worker, h holding, now time.Duration) coldAccess {
 	limit := p.coldLimit.Load()
@@ -133,6 +137,22 @@
 	return true, false
 }
 
+// coldSlots returns how many slots of the worker the calls of its allowance fill that occupy
+// one for so long, or infinity if the worker is not limited.
+func (p *Pool) coldSlots(w *tracker.Worker, h holding, held, now time.Duration) float64 {
+	limit := p.coldLimit.Load()
+	switch p.coldAccessTo(w, h, now) {
+	case accessClosed:
+		return 0
+	case accessLimited, accessSpent:
+		if limit != nil {
+			return limit.allowance.CallsIn(held)
+		}
+	case accessFree:
+	}
+	return math.Inf(1)
+}
+
 // IsColdLimited reports whether the worker gets calls only from the allowance of a cold one.
 func (p *Pool) IsColdLimited(w *tracker.Worker) bool {
 	return p.coldLimit.Load() != nil && w.IsCold(p.Now())
--- a/tracker/warmup.go
+++ b/tracker/warmup.go
@@ -21,6 +21,14 @@
 // IsEmpty reports whether the allowance never allows a call.
 func (a Allowance) IsEmpty() bool { return a.interval <= 0 }
 
+// CallsIn returns how many calls become available in the duration.
+func (a Allowance) CallsIn(d time.Duration) float64 {
+	if a.IsEmpty() {
+		return 0
+	}
+	return float64(d) / float64(a.interval)
+}
+
 // full returns the time from an empty bucket to a full one.
 func (a Allowance) full() time.Duration { return time.Duration(a.burst * float64(a.interval)) }
 
