Let no call wait for room past its deadline, nor be sent away for hours

A call whose timeout is shorter than the class's target was queued as long as a slot was expected before the target, and waited until its deadline passed. The sooner of the two now counts, also where queued calls are passed over.

Retry-After was up to a third of the time that the caller has left, however long that is: with a timeout of ten hours up to 3 h 20 min, while room was expected in 200 ms. It is now bounded by 10 s or twice the expected wait.

Two rows of TestVerdict and TestReturnOfPatientCallers failed before.

--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -217,13 +217,13 @@
 }
 
 // mayAnswerOnTime reports whether a worker with the slowdown would answer the call on time,
-// or the call is late anyway.
+// or before its deadline if it is late anyway.
 func (p *Pool) mayAnswerOnTime(req *Request, slowdown float64) bool {
-	latency := slowdown * float64(p.BaseLatency(req.target))
-	if req.pastTarget() {
-		return latency <= float64(time.Until(req.deadline))
+	left := time.Until(req.deadline)
+	if !req.pastTarget() {
+		left = min(left, time.Until(req.targetDeadline))
 	}
-	return latency <= float64(time.Until(req.targetDeadline))
+	return slowdown*float64(p.BaseLatency(req.target)) <= float64(left)
 }
 
 // grantTo grants a slot to a queued call. It returns false if no worker can take it.
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -52,9 +52,12 @@
 }
 
 // NewCall returns a call that is expected to occupy a worker for the given work. Priority
-// 0 is the highest.
+// 0 is the highest. If the deadline comes before the target, it takes its place.
 func NewCall(priority int, untilTarget, untilDeadline, work time.Duration) Call {
-	return Call{priority: min(max(priority, 0), maxPriority), untilTarget: untilTarget, untilDeadline: untilDeadline, work: max(work, 1)}
+	return Call{
+		priority: min(max(priority, 0), maxPriority), work: max(work, 1),
+		untilTarget: min(untilTarget, untilDeadline), untilDeadline: untilDeadline,
+	}
 }
 
 // WithLead returns c as a call of a tenant that has been served more than its share, by
--- a/ranker/ranker_test.go
+++ b/ranker/ranker_test.go
@@ -71,6 +71,8 @@
 		{"room in time", ranker.NewCall(0, 800*ms, 4*time.Second, 200*ms), ranker.NewRoom(9, 10*ms), "wait 540ms"},
 		{"the last place in time", ranker.NewCall(0, 800*ms, 4*time.Second, 200*ms), ranker.NewRoom(53, 10*ms), "wait 540ms"},
 		{"no room before the target", ranker.NewCall(0, 800*ms, 4*time.Second, 200*ms), ranker.NewRoom(54, 10*ms), "refuse"},
+		{"no room before the deadline, which is sooner than the target", ranker.NewCall(0, 800*ms, 600*ms, 200*ms), ranker.NewRoom(40, 10*ms), "refuse"},
+		{"room before the deadline, which is sooner than the target", ranker.NewCall(0, 800*ms, 600*ms, 200*ms), ranker.NewRoom(20, 10*ms), "wait 340ms"},
 		{"late, whatever the room", ranker.NewCall(0, 100*ms, 4*time.Second, 200*ms), ranker.NewRoom(0, 0), "wait briefly 50ms"},
 		{"late, and hardly any time left", ranker.NewCall(0, 100*ms, 270*ms, 200*ms), ranker.NewRoom(0, 0), "wait briefly 10ms"},
 		{"no answer before the deadline", ranker.NewCall(0, 50*ms, 100*ms, 200*ms), ranker.NewRoom(0, 0), "refuse"},
@@ -113,6 +115,26 @@
 	})
 }
 
+// Load: a caller that would wait for hours is refused. It must not be told to stay away for
+// hours while there is room within seconds.
+func TestReturnOfPatientCallers(t *testing.T) {
+	tests := []struct {
+		name           string
+		wait           time.Duration
+		earliest, most time.Duration
+	}{
+		{"room soon", 200 * ms, 200 * ms, 10 * time.Second},
+		{"room after a minute", time.Minute, time.Minute, 2 * time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Assert(ranker.ReturnAfter(test.wait, 10*time.Hour, 0), qt.Equals, test.earliest)
+			c.Assert(ranker.ReturnAfter(test.wait, 10*time.Hour, 1), qt.Equals, test.most)
+		})
+	}
+}
+
 // Load: callers that were refused come back with the rest of their time. They must be told
 // from new ones, and new ones with the usual timeouts must not be taken for them.
 func TestPatience(t *testing.T) {
--- a/ranker/verdict.go
+++ b/ranker/verdict.go
@@ -12,6 +12,9 @@
 	// returnShare is the share of the time left to the deadline within which a refused
 	// caller is told to come back: later ones don't wait that long.
 	returnShare = 1.0 / 3
+	// maxReturn is the longest time within which a refused caller is told to come back, or
+	// twice the expected wait if that is longer.
+	maxReturn = 10 * time.Second
 )
 
 // Room is the room that a service has: the calls that would be served before a new one,
@@ -48,8 +51,8 @@
 func (WaitBriefly) verdict() {}
 func (Refuse) verdict()      {}
 
-// Decide returns the verdict for a call. How long it may wait is MaxWait. A call that can meet its
-// target but is not expected to get a slot by then is refused at once: it would only
+// Decide returns the verdict for a call. How long it may wait is MaxWait. A call that can
+// meet its target but is not expected to get a slot by then is refused at once: it would only
 // return later to the same queue.
 func Decide(c Call, r Room) Verdict {
 	switch {
@@ -79,10 +82,10 @@
 
 // ReturnAfter returns when the caller of a refused call is told to come back: not before
 // the calls that wait now are expected to have been served, and within a third of the time
-// that it has left. spread, from 0 to 1, is random, so that callers don't return all at
+// that it has left, up to maxReturn. spread, from 0 to 1, is random, so that callers don't return all at
 // once.
 func ReturnAfter(wait, left time.Duration, spread float64) time.Duration {
-	latest := time.Duration(returnShare * float64(left))
+	latest := min(time.Duration(returnShare*float64(left)), max(maxReturn, 2*wait))
 	earliest := min(max(wait, minReturn), latest/2)
 	return max(earliest+time.Duration(spread*float64(latest-earliest)), 0)
 }
