Give queued calls that may go to any region the slots of other regions

A ranked queue was dispatched only while a worker of the own region was free. A call that its instance decides itself, as the scheduler is silent, and that may go to any region waited for its whole time beside a free worker of another one.

TestQueuedCallGetsASlotOfAnotherRegion failed before, after 10 s.

--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -123,7 +123,7 @@
 // congestion returns how much slower congested workers are, as all are while calls wait.
 func (p *Pool) congestion() float64 { return float64(p.congestionFactor.Load()) / perThousand }
 
-// isRoom reports whether the worker may get calls of the instance's region.
+// isRoom reports whether the worker may get calls that are not confined to regions.
 func (p *Pool) isRoom(w *tracker.Worker, now time.Duration) bool {
 	state := w.State(0, now)
 	return (state == picker.Usable || state == picker.Suspect) && Constraint{}.permits(w)
@@ -171,12 +171,12 @@
 	rank := call.RankAt(p.Now(), time.Duration(p.meanWork.Load()))
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	fastest := p.fastestFreeWorker()
+	free := p.freeWorkers()
 	for _, w := range p.queue.waiters {
 		if rank.Before(w.rank) {
 			return true
 		}
-		if p.mayAnswerOnTime(&w.req, fastest) {
+		if p.mayAnswerOnTime(&w.req, free) {
 			return false
 		}
 	}
@@ -186,15 +186,15 @@
 // dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
 // time at the moment are passed over. The caller holds the mutex.
 func (p *Pool) dispatchByRank() {
-	fastest := p.fastestFreeWorker()
+	free := p.freeWorkers()
 	failures := 0
 	for at := 0; at < len(p.queue.waiters) && failures < maxFailedGrants; {
 		w := p.queue.waiters[at]
 		switch {
-		case !p.mayAnswerOnTime(&w.req, fastest):
+		case !p.mayAnswerOnTime(&w.req, free):
 			at++
 		case p.grantTo(w):
-			fastest = p.fastestFreeWorker()
+			free = p.freeWorkers()
 		default:
 			at++
 			failures++
@@ -202,23 +202,34 @@
 	}
 }
 
-// fastestFreeWorker returns the lowest slowdown to expect of a call at a worker that would
-// not queue it, or infinity if there is none.
-func (p *Pool) fastestFreeWorker() float64 {
+// freeWorkers is the lowest slowdown to expect of a call at a worker that would not queue
+// it, or infinity if there is none: in the instance's region and in any.
+type freeWorkers struct{ local, any float64 }
+
+func (p *Pool) freeWorkers() freeWorkers {
 	now, set := p.Now(), p.workerSet.Load()
-	fastest := math.Inf(1)
-	for _, w := range set.local {
+	free := freeWorkers{local: math.Inf(1), any: math.Inf(1)}
+	for _, w := range set.workers {
 		load := p.workerLoad(w, now)
-		if !load.Saturated() && p.isRoom(w, now) && p.coldAccessTo(w, set.holding, now).hasCall() {
-			fastest = min(fastest, load.ExpectedLatency(time.Second).Seconds())
+		if load.Saturated() || !p.isRoom(w, now) || !p.coldAccessTo(w, set.holding, now).hasCall() {
+			continue
+		}
+		slowdown := load.ExpectedLatency(time.Second).Seconds()
+		free.any = min(free.any, slowdown)
+		if w.Distance() < picker.RemoteDistance {
+			free.local = min(free.local, slowdown)
 		}
 	}
-	return fastest
+	return free
 }
 
-// mayAnswerOnTime reports whether a worker with the slowdown would answer the call on time,
-// or before its deadline if it is late anyway.
-func (p *Pool) mayAnswerOnTime(req *Request, slowdown float64) bool {
+// mayAnswerOnTime reports whether the fastest free worker would answer the call on time, or
+// before its deadline if it is late anyway.
+func (p *Pool) mayAnswerOnTime(req *Request, free freeWorkers) bool {
+	slowdown := free.any
+	if req.localOnly {
+		slowdown = free.local
+	}
 	left := time.Until(req.deadline)
 	if !req.pastTarget() {
 		left = min(left, time.Until(req.targetDeadline))
--- a/limiter/ranking_test.go
+++ b/limiter/ranking_test.go
@@ -8,6 +8,7 @@
 
 	"burdocklane/descriptor"
 	"burdocklane/limiter"
+	"burdocklane/registrar"
 	"burdocklane/tracker"
 
 	qt "github.com/frankban/quicktest"
@@ -151,6 +152,28 @@
 	c.Assert(receive(c, served), qt.Equals, 1)
 }
 
+// Load: the region is full, and the call may go to another one, as the instance decides
+// itself. It must get the slot that becomes free there, and not wait for one of the region.
+func TestQueuedCallGetsASlotOfAnotherRegion(t *testing.T) {
+	c := qt.New(t)
+	p := newRankingPool(c, 50*time.Millisecond, nil)
+	far := registrar.NewWorker("far", "s", "", registrar.NewLocality("q", "z"), 3, false)
+	p.Update([]registrar.Worker{p.Workers()[0].Member(), far}, nil)
+	reportAll(p, 3, 1)
+	now := time.Now()
+	served := make(chan registrar.WorkerID, 1)
+	go func() {
+		request := limiter.NewRequest(longTarget, now.Add(4*longTarget)).WithTargetDeadline(now.Add(longTarget))
+		if granted, ok := p.WaitForCapacity(context.Background(), request).(limiter.Granted); ok {
+			served <- granted.Worker().ID()
+			granted.Release()
+		}
+	}()
+	awaitQueued(c, p, 1)
+	p.RecordReport(p.Find("far"), tracker.NewReport(0, 0, 3, 1, p.Now()))
+	c.Assert(receive(c, served), qt.Equals, far.ID())
+}
+
 // A pool whose classes don't differ in priority, and that has no tenants, keeps to the short
 // wait.
 func TestRanksAreOptional(t *testing.T) {
