Let a queued call not wait for a scheduler that has ended

The requester of a call that may wait for long waited for the reply of a scheduler that had ended as long as for one that lives: up to the time at which the call can hardly be on time. It now looks every 100 ms whether the scheduler is live.

TestQueuedCallOutlivesItsScheduler failed before, after 10 s.

--- a/limiter/preview.go
+++ b/limiter/preview.go
@@ -94,7 +94,8 @@
 // no worker would get it.
 func (p *Pool) previewUrgent(req Request, set *workerSet) (Preview, bool) {
 	policy := p.reportedLoadPolicy(&req).Uncongested().Urgent()
-	for _, req.lastResort = range []bool{false, true} {
+	for _, lastResort := range []bool{false, true} {
+		req.lastResort = lastResort
 		considered, candidates := p.consider(policy, &req, set)
 		if _, ok := decide(considered).(picker.Send); ok {
 			return Preview{outlook: WouldSend{worker: considered[0].worker}, candidates: candidates}, true
--- a/scheduler/remote_test.go
+++ b/scheduler/remote_test.go
@@ -62,3 +62,37 @@
 	c.Assert(err, qt.IsNil)
 	return count
 }
+
+// Failure: the scheduler ends while a call is queued there that may wait for long. Once the
+// instances of the region know that, the call must not wait any longer.
+func TestQueuedCallOutlivesItsScheduler(t *testing.T) {
+	c := qt.New(t)
+	r := newRegion(c, 2, 1)
+	for _, p := range r.pools {
+		p.SetRanksCalls(true)
+		p.RecordReport(p.Workers()[0], tracker.NewReport(3, 0, 3, 1, p.Now()))
+	}
+	scheduler := r.schedulerIndex("s")
+	requester := 1 - scheduler
+	now := time.Now()
+	request := limiter.NewRequest(time.Minute, now.Add(4*time.Minute)).WithTargetDeadline(now.Add(time.Minute))
+	ended := make(chan limiter.Assignment, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { ended <- r.schedulers[requester].Assign(ctx, r.pools[requester], request) }()
+	awaitWaiting(c, r, 1)
+	r.silence(scheduler)
+	select {
+	case assignment := <-ended:
+		_, undecided := assignment.(limiter.Undecided)
+		c.Assert(undecided, qt.IsTrue)
+	case <-time.After(10 * time.Second):
+		c.Fatal("the call still waits for the reply")
+	}
+}
+
+// silence ends an instance without a reply to the calls that are queued there.
+func (r *region) silence(instance int) {
+	r.dead.Store(r.instances[instance].ID(), true)
+	r.schedulers[instance].Close()
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"time"
 
 	"burdocklane/limiter"
@@ -57,27 +58,24 @@
 func (r *pendingRequest) await(ctx context.Context, t timeouts) limiter.Assignment {
 	timer := time.NewTimer(t.reply)
 	defer timer.Stop()
+	var until time.Time // When the wait of a queued call ends.
 	for {
 		select {
 		case reply := <-r.replies:
-			switch reply.Status {
-			case statusQueued:
-				timer.Reset(max(t.queued, reply.retryAfter()+queuedMargin))
-				continue
-			case statusAssigned, statusAssignedCold:
-				return r.resolve(reply)
-			case statusUnknownService:
-				return limiter.Undecided{}
-			case statusOverLimit:
-				return limiter.NewOverLimit(reply.retryAfter())
-			case statusLimitUnknown, statusLimitPending:
-				return limiter.NewLimitUnknown(reply.retryAfter(), reply.Status == statusLimitPending)
+			if reply.Status != statusQueued {
+				return r.assignmentOf(reply)
 			}
-			return limiter.NewRejected(reply.retryAfter())
+			wait := max(t.queued, reply.retryAfter()+queuedMargin)
+			until = time.Now().Add(wait)
+			timer.Reset(min(wait, liveCheckInterval))
 		case <-ctx.Done():
 			r.withdraw()
 			return limiter.Rejected{}
 		case <-timer.C:
+			if left := time.Until(until); left > 0 && r.isSchedulerLive() {
+				timer.Reset(min(left, liveCheckInterval))
+				continue
+			}
 			r.recordTimeout()
 			r.withdraw()
 			return limiter.Undecided{}
@@ -85,6 +83,30 @@
 	}
 }
 
+// assignmentOf returns the assignment that a reply holds.
+func (r *pendingRequest) assignmentOf(reply assignmentReply) limiter.Assignment {
+	switch reply.Status {
+	case statusAssigned, statusAssignedCold:
+		return r.resolve(reply)
+	case statusUnknownService:
+		return limiter.Undecided{}
+	case statusOverLimit:
+		return limiter.NewOverLimit(reply.retryAfter())
+	case statusLimitUnknown, statusLimitPending:
+		return limiter.NewLimitUnknown(reply.retryAfter(), reply.Status == statusLimitPending)
+	}
+	return limiter.NewRejected(reply.retryAfter())
+}
+
+// isSchedulerLive reports whether the scheduler is not known to have ended. Of other
+// regions that is unknown.
+func (r *pendingRequest) isSchedulerLive() bool {
+	if r.scheduler.Locality().Region() != r.owner.self.Locality().Region() {
+		return true
+	}
+	return slices.ContainsFunc(r.owner.live(), func(i registrar.Instance) bool { return i.ID() == r.scheduler.ID() })
+}
+
 // withdraw releases the slot that may have been assigned in the meantime.
 func (r *pendingRequest) withdraw() {
 	r.owner.send(completion{Kind: kindCompletion, Call: r.callID}, r.address)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,9 @@
 	// queuedMargin is how much longer than the longest wait for capacity the wait for the
 	// reply may last.
 	queuedMargin = 20 * time.Millisecond
+	// liveCheckInterval is how often the requester of a queued call checks that the scheduler
+	// is live.
+	liveCheckInterval = 100 * time.Millisecond
 	// remoteTimeout and remoteQueuedTimeout are those of a scheduler of another region.
 	remoteTimeout       = 40 * time.Millisecond
 	remoteQueuedTimeout = queuedTimeout + remoteTimeout - replyTimeout
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	schedulers []*scheduler.Scheduler
 	pools      []*limiter.Pool
 	tenants    []descriptor.Tenant
+	dead       sync.Map // From instance ID to true, for those that are not live.
 }
 
 // freeAddress returns an address with a port below the ephemeral range, so that no
@@ -79,7 +81,7 @@
 				live = append(live, i)
 			}
 		}
-		s, err := scheduler.New(self, p, func() []registrar.Instance { return live }, zerolog.Nop())
+		s, err := scheduler.New(self, p, func() []registrar.Instance { return r.withoutDead(live) }, zerolog.Nop())
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(s.Close)
 		pool := p.Current().ServiceState("s").Pool()
@@ -90,6 +92,13 @@
 	}
 }
 
+func (r *region) withoutDead(instances []registrar.Instance) []registrar.Instance {
+	return slices.DeleteFunc(slices.Clone(instances), func(i registrar.Instance) bool {
+		_, dead := r.dead.Load(i.ID())
+		return dead
+	})
+}
+
 func newRequest() limiter.Request {
 	const target = 400 * time.Millisecond
 	now := time.Now()
