--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -55,7 +55,7 @@
 	workers          []*tracker.Worker
 	local            []*tracker.Worker // Those of the instance's region.
 	slots            int
-	localSlots       int
+	localSlots       int // Without those of evacuated zones.
 	workersWithShare int // Workers at which the instance has a slot.
 	hasEvacuated     bool
 	holding          holding
@@ -85,8 +85,8 @@
 	meanWork   atomic.Int64 // Moving average of the expected work of queued calls.
 	shares     sharer.Shares
 	kinds      sharer.Kinds
-	patience   sync.Map     // Maps a class's target to its *patience.
-	refusedAt  atomic.Int64 // When a call was last refused.
+	patience   sync.Map     // Maps a patienceKey to its *patience.
+	refusedAt  atomic.Int64 // When a call was last refused for lack of room.
 
 	mutex sync.Mutex // Guards queue; never held while a call runs.
 	queue *queue
@@ -205,7 +205,9 @@
 		next.workers = append(next.workers, w)
 		if w.Distance() < picker.RemoteDistance {
 			next.local = append(next.local, w)
-			next.localSlots += member.Slots()
+			if !member.IsEvacuated() {
+				next.localSlots += member.Slots()
+			}
 		}
 	}
 	p.workerSet.Store(next)
@@ -270,7 +272,9 @@
 	}
 	var summary CandidateSummary
 	if p.usesReportedLoad() {
-		return p.noteRefusal(p.acquireAssigned(ctx, p.aged(req), arrival))
+		aged := p.aged(req)
+		p.learnTimeout(&req)
+		return p.noteRefusal(p.acquireAssigned(ctx, aged, arrival))
 	}
 	if p.waiting.Load() == 0 || !picker.Bounded(p.policy) {
 		granted, decision := p.pickAndAcquire(p.policy, &req, &summary)
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -25,12 +25,17 @@
 // RanksCalls reports whether the queue is ordered by the rank of the calls.
 func (p *Pool) RanksCalls() bool { return p.ranksCalls.Load() }
 
+// ActiveTenants returns the number of tenants whose share of the room is tracked.
+func (p *Pool) ActiveTenants() int { return p.shares.Tenants() }
+
 // rank gives the call its place in the queue and returns how long it may wait, or why it
 // must not. The caller holds the mutex.
 func (p *Pool) rank(w *waiter) (time.Duration, Reason) {
 	call := p.rankable(&w.req)
-	w.rank = call.RankAt(p.Now(), p.observeWork(call.Work()))
-	room := p.room(w)
+	meanWork := p.meanWorkWith(call.Work())
+	p.meanWork.Store(int64(meanWork))
+	w.rank = call.RankAt(p.Now(), meanWork)
+	room := p.room(p.queue.position(w), meanWork)
 	verdict := ranker.Decide(call, room)
 	w.ranking = rankingSummary{
 		call: call, untilTarget: time.Until(w.req.targetDeadline),
@@ -76,10 +81,16 @@
 	return call
 }
 
-// recordRequest records that a call asks for a slot, unless its caller has come back.
+// recordRequest records that a call asks for a slot. Those whose callers have come back
+// count for their tenants only.
 func (p *Pool) recordRequest(req *Request) {
-	if p.ranksCalls.Load() && !req.noWait && !req.pastTarget() {
-		p.kinds.Ask(req.kind(), p.Now())
+	if !p.ranksCalls.Load() {
+		return
+	}
+	now := p.Now()
+	p.shares.Ask(req.tenant, now)
+	if !req.noWait && !req.pastTarget() {
+		p.kinds.Ask(req.kind(), now)
 	}
 }
 
@@ -94,44 +105,39 @@
 	p.shares.Charge(req.tenant, time.Duration(chosen.Latency()), p.workerSet.Load().localSlots, now)
 }
 
-// observeWork updates the moving average of the calls' work and returns it.
-func (p *Pool) observeWork(work time.Duration) time.Duration {
+// meanWorkWith returns the moving average of the calls' work after another call.
+func (p *Pool) meanWorkWith(work time.Duration) time.Duration {
 	old := p.meanWork.Load()
 	if old == 0 {
 		old = int64(work)
 	}
-	mean := old + int64(workWeight*float64(int64(work)-old))
-	p.meanWork.Store(mean)
-	return time.Duration(mean)
+	return time.Duration(old + int64(workWeight*float64(int64(work)-old)))
 }
 
-// room returns the room for a call, or for any call if w is nil. The caller holds the
-// mutex.
-func (p *Pool) room(w *waiter) ranker.Room {
-	ahead := len(p.queue.waiters)
-	if w != nil {
-		ahead = p.queue.position(w)
-	}
-	return ranker.NewRoom(ahead, time.Duration(float64(p.meanWork.Load())*p.congestion()/max(p.effectiveSlots(), 1)))
+// room returns the room for a call that goes after others.
+func (p *Pool) room(ahead int, meanWork time.Duration) ranker.Room {
+	congested := time.Duration(float64(meanWork) * p.congestion())
+	return ranker.NewRoom(ahead, time.Duration(float64(congested)/max(p.effectiveSlots(congested), 1)))
 }
 
 // congestion returns how much slower congested workers are, as all are while calls wait.
 func (p *Pool) congestion() float64 { return float64(p.congestionFactor.Load()) / perThousand }
 
-// isRoom reports whether the worker may get calls of the instance's region.
+// isRoom reports whether the worker may get calls that are not confined to regions.
 func (p *Pool) isRoom(w *tracker.Worker, now time.Duration) bool {
 	state := w.State(0, now)
 	return (state == picker.Usable || state == picker.Suspect) && Constraint{}.permits(w)
 }
 
-// effectiveSlots returns the number of slots in the instance's region, where a slot of a
-// worker that takes twice as long counts as half a slot.
-func (p *Pool) effectiveSlots() float64 {
-	now := p.Now()
+// effectiveSlots returns the number of slots in the instance's region for calls that
+// occupy one for so long. A slot of a worker that takes twice as long counts as half a slot, and a cold worker
+// has no more slots than its allowance fills.
+func (p *Pool) effectiveSlots(held time.Duration) float64 {
+	now, set := p.Now(), p.workerSet.Load()
 	slots := 0.0
-	for _, w := range p.workerSet.Load().local {
+	for _, w := range set.local {
 		if p.isRoom(w, now) {
-			slots += float64(w.Member().Slots()) / w.Load(now).Slowdown()
+			slots += min(float64(w.Member().Slots())/w.Load(now).Slowdown(), p.coldSlots(w, set.holding, held, now))
 		}
 	}
 	return slots
@@ -145,7 +151,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return max(p.room(nil).Wait(), time.Millisecond)
+	return p.queueWait()
+}
+
+// queueWait returns when the queued calls are expected to have been served. The caller
+// holds the mutex.
+func (p *Pool) queueWait() time.Duration {
+	room := p.room(len(p.queue.waiters), time.Duration(p.meanWork.Load()))
+	return max(room.Wait(), time.Millisecond)
 }
 
 // mayOvertake reports whether the call goes before all queued calls that a worker could
@@ -158,12 +171,12 @@
 	rank := call.RankAt(p.Now(), time.Duration(p.meanWork.Load()))
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	fastest := p.fastestFreeWorker()
+	free := p.freeWorkers()
 	for _, w := range p.queue.waiters {
 		if rank.Before(w.rank) {
 			return true
 		}
-		if p.mayAnswerOnTime(&w.req, fastest) {
+		if p.mayAnswerOnTime(&w.req, free) {
 			return false
 		}
 	}
@@ -173,15 +186,15 @@
 // dispatchByRank grants slots to queued calls by rank. Calls that no worker would answer on
 // time at the moment are passed over. The caller holds the mutex.
 func (p *Pool) dispatchByRank() {
-	fastest := p.fastestFreeWorker()
+	free := p.freeWorkers()
 	failures := 0
 	for at := 0; at < len(p.queue.waiters) && failures < maxFailedGrants; {
 		w := p.queue.waiters[at]
 		switch {
-		case !p.mayAnswerOnTime(&w.req, fastest):
+		case !p.mayAnswerOnTime(&w.req, free):
 			at++
 		case p.grantTo(w):
-			fastest = p.fastestFreeWorker()
+			free = p.freeWorkers()
 		default:
 			at++
 			failures++
@@ -189,28 +202,39 @@
 	}
 }
 
-// fastestFreeWorker returns the lowest slowdown to expect of a call at a worker that would
-// not queue it, or infinity if there is none.
-func (p *Pool) fastestFreeWorker() float64 {
-	now := p.Now()
-	fastest := math.Inf(1)
-	for _, w := range p.workerSet.Load().local {
+// freeWorkers is the lowest slowdown to expect of a call at a worker that would not queue
+// it, or infinity if there is none: in the instance's region and in any.
+type freeWorkers struct{ local, any float64 }
+
+func (p *Pool) freeWorkers() freeWorkers {
+	now, set := p.Now(), p.workerSet.Load()
+	free := freeWorkers{local: math.Inf(1), any: math.Inf(1)}
+	for _, w := range set.workers {
 		load := p.workerLoad(w, now)
-		if !load.Saturated() && p.isRoom(w, now) {
-			fastest = min(fastest, load.ExpectedLatency(time.Second).Seconds())
+		if load.Saturated() || !p.isRoom(w, now) || !p.coldAccessTo(w, set.holding, now).hasCall() {
+			continue
+		}
+		slowdown := load.ExpectedLatency(time.Second).Seconds()
+		free.any = min(free.any, slowdown)
+		if w.Distance() < picker.RemoteDistance {
+			free.local = min(free.local, slowdown)
 		}
 	}
-	return fastest
+	return free
 }
 
-// mayAnswerOnTime reports whether a worker with the slowdown would answer the call on time,
-// or the call is late anyway.
-func (p *Pool) mayAnswerOnTime(req *Request, slowdown float64) bool {
-	latency := slowdown * float64(p.BaseLatency(req.target))
-	if req.pastTarget() {
-		return latency <= float64(time.Until(req.deadline))
+// mayAnswerOnTime reports whether the fastest free worker would answer the call on time, or
+// before its deadline if it is late anyway.
+func (p *Pool) mayAnswerOnTime(req *Request, free freeWorkers) bool {
+	slowdown := free.any
+	if req.localOnly {
+		slowdown = free.local
+	}
+	left := time.Until(req.deadline)
+	if !req.pastTarget() {
+		left = min(left, time.Until(req.targetDeadline))
 	}
-	return latency <= float64(time.Until(req.targetDeadline))
+	return slowdown*float64(p.BaseLatency(req.target)) <= float64(left)
 }
 
 // grantTo grants a slot to a queued call. It returns false if no worker can take it.
