Wait for an interrupt of a body before its attempt returns

Cause: context.AfterFunc's stop does not wait for a function that has begun. Interrupt could use the response writer after its handler had returned, when a call ended at its deadline or with its caller: on HTTP/2 a data race, and a nil pointer outside any call, which ends the process; on HTTP/1.1 the read deadline of the next request. Change: the attempt waits for an interrupt in progress.

--- a/listener/attempt.go
+++ b/listener/attempt.go
@@ -46,8 +46,7 @@
 // dispatcher.RoundTrip.
 func (x *exchange) transmit(ctx context.Context, attempt int, call *classifier.Call, worker registrar.Worker) retrier.Result {
 	if !x.body.replayable() {
-		stop := context.AfterFunc(ctx, x.body.source.Interrupt)
-		defer stop()
+		defer x.body.source.interruptAfter(ctx)()
 	}
 	switch o := x.handler.sender.Send(ctx, x.workerRequest(call, worker)).(type) {
 	case sender.Responded:
--- a/listener/body.go
+++ b/listener/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -165,3 +166,19 @@
 		b.control.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // The connection has ended.
 	}
 }
+
+// interruptAfter interrupts the body once the context ends, until the function that it
+// returns is called. That waits for an Interrupt in progress: once the handler has returned,
+// the connection is another request's, and HTTP/2 panics on a use of the stream.
+func (b *deadlineBody) interruptAfter(ctx context.Context) (stop func()) {
+	done := make(chan struct{})
+	stopped := context.AfterFunc(ctx, func() {
+		defer close(done)
+		b.Interrupt()
+	})
+	return func() {
+		if !stopped() {
+			<-done
+		}
+	}
+}
