Give each stream of HTTP/2 its own part of the connection's window

Cause: a stream and its connection had the same window of 64 KB, so that one body that its worker did not read (or whose call still waited for a worker) stopped the bodies of the 31 other streams until its deadline. Change: the connection's window has room for all streams; what a stream may send unread is counted with it.

--- a/acceptor/conn_test.go
+++ b/acceptor/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +104,37 @@
 	_, err = io.ReadFull(conn, make([]byte, len("rest")))
 	c.Assert(err, qt.IsNil)
 }
+
+// Guards against bodies that a crowd sends on streams which nobody reads, and that are not
+// counted.
+func TestStreamsHoldTheirWindows(t *testing.T) {
+	const room = 1 << 20
+	tests := []struct {
+		name   string
+		length int64 // -1 stands for an unknown one.
+		want   int64
+	}{
+		{"no body", 0, 0},
+		{"a short body", 1000, 1000},
+		{"a long body", 10 << 20, shedder.WindowBytes},
+		{"a body of unknown length", -1, shedder.WindowBytes},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, _, s := accept(c, shedder.NewLimits(room, 0, 0))
+			r, err := http.NewRequest(http.MethodPost, "/", http.NoBody)
+			c.Assert(err, qt.IsNil)
+			server := &http.Server{}
+			acceptor.Install(server)
+			r = r.WithContext(server.ConnContext(r.Context(), conn))
+			r.ProtoMajor, r.ContentLength = 2, test.length
+			before := s.Held()
+			q, ok := acceptor.BeginRequest(httptest.NewRecorder(), r)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(s.Held()-before, qt.Equals, shedder.ConnectionBytes+test.want)
+			q.End()
+			c.Assert(s.Held(), qt.Equals, before)
+		})
+	}
+}
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -46,7 +46,15 @@
 		return &Request{}, false
 	}
 	q := &Request{conn: conn, holding: holding, stream: s}
-	return q, q.Grow(headBytes(r) - freeHeadBytes)
+	return q, q.Grow(headBytes(r)-freeHeadBytes) && q.Grow(windowBytes(r))
+}
+
+// windowBytes returns how much of the body may arrive before it is read.
+func windowBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return shedder.WindowBytes
+	}
+	return min(r.ContentLength, shedder.WindowBytes)
 }
 
 // stream ends the transfers of a request that shares its connection with others.
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -17,8 +17,9 @@
 const (
 	// maxStreams is how many requests a caller may have on one connection of HTTP/2.
 	maxStreams = 32
-	// http2WindowBytes is how much a connection of HTTP/2 may send that is not read yet.
-	http2WindowBytes = 64 << 10
+	// http2WindowBytes is how much a connection of HTTP/2 may send that is not read yet. It
+	// has room for each of the streams: one that is not read must not hold up the others.
+	http2WindowBytes = maxStreams * shedder.WindowBytes
 )
 
 // maxArrivalTime is how long a stop waits for the requests that have arrived to be read.
@@ -88,7 +89,7 @@
 			ReadHeaderTimeout: limits.HeaderTimeout(),
 			IdleTimeout:       limits.IdleTimeout(),
 			MaxHeaderBytes:    limits.MaxHeaderBytes(),
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: http2WindowBytes},
+			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: http2WindowBytes, MaxReceiveBufferPerStream: shedder.WindowBytes},
 		},
 	}
 	acceptor.Install(l.server)
--- a/shedder/limits.go
+++ b/shedder/limits.go
@@ -41,8 +41,10 @@
 	// CallBytes is held by a call that has been dispatched, beside its connection.
 	CallBytes = 32 << 10
 	// HTTP2Bytes is held by a connection of HTTP/2, beside [ConnectionBytes]: the buffers
-	// for frames, the data that no handler has read, and streams that are being refused.
+	// for frames, and streams that are being refused.
 	HTTP2Bytes = 128 << 10
+	// WindowBytes is how much of its body a stream of HTTP/2 may send that is not read yet.
+	WindowBytes = 64 << 10
 	// FieldBytes is held by a field of a head beside its text. It is held twice: in the
 	// request and in its copy for the worker.
 	FieldBytes = 160
