--- a/bootstrapper/bootstrapper.go
+++ b/bootstrapper/bootstrapper.go
@@ -16,6 +16,7 @@
 	"burdocklane/acceptor"
 	"burdocklane/asserter"
 	"burdocklane/confirmer"
+	"burdocklane/descriptor"
 	"burdocklane/dispatcher"
 	"burdocklane/drainer"
 	"burdocklane/fetcher"
@@ -227,6 +228,14 @@
 	return limiter.Undecided{}
 }
 
+// limitLeft returns what this instance holds of the tenant's rate limit.
+func (p *Process) limitLeft(tenant *descriptor.Tenant) (float64, bool) {
+	if s := p.scheduler.Load(); s != nil {
+		return s.LimitLeft(tenant)
+	}
+	return 0, false
+}
+
 // deciders returns the schedulers that would be asked for the request.
 func (p *Process) deciders(pool *limiter.Pool, request limiter.Request) []scheduler.Decider {
 	if s := p.scheduler.Load(); s != nil {
@@ -260,7 +269,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(adapter.ReadyPath, p.handleReady).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	router.HandleFunc(inspector.WherePath, inspector.WhereHandler(previewer.New(p.self(), p.publisher, previewer.WithDeciders(p.deciders)))).Methods(http.MethodGet)
+	router.HandleFunc(inspector.WherePath, inspector.WhereHandler(previewer.New(p.self(), p.publisher, previewer.WithDeciders(p.deciders), previewer.WithLimitLeft(p.limitLeft)))).Methods(http.MethodGet)
 	p.checkShedder = shedder.New(shedder.CheckLimits(p.settings.MemoryBytes(), p.settings.MaxSockets()), shedder.WithLog(p.log, "readiness"))
 	p.readiness = acceptor.NewCheckServer(router, p.checkShedder)
 	p.serving.Go(func() {
--- a/previewer/answer.go
+++ b/previewer/answer.go
@@ -71,6 +71,6 @@
 // Call returns the call, with the service whose turn it is, and its tenant.
 func (r Route) Call() *classifier.Call { return &r.call }
 
-// LimitLeft returns how many requests the rate limit of the tenant still admits now, and
+// LimitLeft returns how many requests of the tenant the instance itself may admit now, and
 // false if that is unknown or there is none.
 func (r Route) LimitLeft() (float64, bool) { return r.limitLeft, r.limitLeft >= 0 }
--- a/previewer/previewer.go
+++ b/previewer/previewer.go
@@ -50,7 +50,7 @@
 // the instance decides itself.
 type DecidersFunc func(*limiter.Pool, limiter.Request) []scheduler.Decider
 
-// LimitLeftFunc returns how many requests the rate limit of a tenant still admits now, and
+// LimitLeftFunc returns how many requests of a tenant the instance itself may admit now, and
 // false if that is unknown. It charges nothing.
 type LimitLeftFunc func(*descriptor.Tenant) (float64, bool)
 
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -82,6 +82,13 @@
 	return l.local.Admit(l.now(), tenant.Hash(), calls)
 }
 
+// LimitLeft returns how many calls of the tenant this instance may admit now, and false if
+// that is unknown: it holds no tokens that are valid.
+func (s *Scheduler) LimitLeft(tenant *descriptor.Tenant) (float64, bool) {
+	state := s.limits.charger.State(s.limits.now(), tenant.Hash())
+	return float64(state.Tokens()), state.IsValid()
+}
+
 // unknown rejects a call that could not be charged.
 func unknown() limiter.Assignment {
 	return limiter.NewLimitUnknown(time.Duration(float64(unknownRetryAfter)*(0.5+rand.Float64())), false)
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -100,3 +100,15 @@
 	owner, _ := registrar.RendezvousOwner(r.instances, service, "")
 	return slices.IndexFunc(r.instances, func(i registrar.Instance) bool { return i.ID() == owner.ID() })
 }
+
+// Guards against a preview that shows a limit of which the instance knows nothing, or uses it.
+func TestLimitLeft(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	c := qt.New(t)
+	r, tenant := limited(c, 1, descriptor.NewRateLimit(1000, 1000))
+	_, known := r.schedulers[0].LimitLeft(&descriptor.Tenant{})
+	c.Assert(known, qt.IsFalse)
+	r.awaitTokens(c, tenant)
+	left, known := r.schedulers[0].LimitLeft(tenant)
+	c.Assert(known && left > 0, qt.IsTrue)
+}
