--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -40,10 +40,10 @@
 	isHTTP2      atomic.Bool
 	inBody       atomic.Bool // The head of the request is complete.
 
-	refusedStreams atomic.Int32 // Since the connection had none.
+	refusedStreams atomic.Int32 // Since the connection was last idle.
 
-	// Guards the fields below: net/http reads a byte of what follows a request that came
-	// with an earlier one, before its handler has begun.
+	// Guards the fields below: after a pipelined request, net/http reads a byte ahead in a
+	// thread of its own before the handler has begun.
 	mutex     sync.Mutex
 	preface   int   // How much of the preface of HTTP/2 was read, or noPreface.
 	headBytes int64 // Of the head that is being read, and of its fields.
@@ -123,8 +123,8 @@
 	return true
 }
 
-// maxRefusedStreams is how many requests on one connection are refused until it is closed:
-// a caller that opens streams faster than they are refused would fill the memory.
+// maxRefusedStreams is how many requests on a connection of HTTP/2 are refused until it is
+// closed: a caller that opens streams faster than they are refused would fill the memory.
 const maxRefusedStreams = 8
 
 // countRefusal counts a request on a stream that was refused.
--- a/acceptor/request.go
+++ b/acceptor/request.go
@@ -17,10 +17,10 @@
 	grown    int64
 	inCall   bool // BeginCall has succeeded.
 	isUpload bool // The body is sent while the worker waits.
-	isPinned bool
+	isPinned bool // BeginAnswer of the holding is due.
 }
 
-// BeginRequest returns the holding of a request that the handler gets. It reports false if
+// BeginRequest returns what a request that the handler gets holds. It reports false if
 // there is no room for the request. End has to be called in both cases.
 func BeginRequest(w http.ResponseWriter, r *http.Request) (*Request, bool) {
 	conn := FromContext(r.Context())
@@ -34,10 +34,10 @@
 }
 
 // headBytes returns what the fields of a head hold at least. It is less than what is
-// counted as it is read, unless it came with an earlier request.
+// counted as it is read, unless the request was pipelined.
 func headBytes(r *http.Request) int64 { return shedder.FieldBytes * int64(len(r.Header)) }
 
-// beginStream returns the holding of a request that shares its connection with others.
+// beginStream returns what a request that shares its connection with others holds.
 func beginStream(conn *Conn, w http.ResponseWriter, r *http.Request) (*Request, bool) {
 	s := &stream{control: http.NewResponseController(w)}
 	holding, ok := conn.holding.Shedder().OpenStream(s.abort)
@@ -133,7 +133,7 @@
 }
 
 // BeginWait says that the next part of the answer is waited for, until the function that it
-// returns is called. The request does not grow older meanwhile.
+// returns is called. The request does not count as stalled meanwhile.
 func (q *Request) BeginWait() (end func()) {
 	if q.holding == nil {
 		return func() {}
--- a/authenticator/credential.go
+++ b/authenticator/credential.go
@@ -10,7 +10,8 @@
 	malformed bool
 }
 
-// NewAPIKey returns the credential of a request that presents the API key.
+// NewAPIKey returns the credential of a request that presents the API key. An empty
+// key is malformed.
 func NewAPIKey(key string) Credential { return Credential{key: key, malformed: key == ""} }
 
 // NewMalformed returns the credential of a request that presents something else than one
--- a/bootstrapper/changes.go
+++ b/bootstrapper/changes.go
@@ -84,7 +84,7 @@
 // returns its version.
 func (p *Process) applyFetched(value []byte, source string) (descriptor.Revision, error) {
 	delivered := time.Now()
-	d, err := adapter.ParseConfiguration(value, adapter.LogCorrections(p.log, source))
+	d, err := adapter.ParseConfiguration(value, adapter.WithCorrectionLog(p.log, source))
 	if err != nil {
 		return 0, err
 	}
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -23,9 +23,9 @@
 const (
 	// askedPeers is how many peers are asked at once.
 	askedPeers = 4
-	// enoughPeers is how many answers are enough. One peer may lag itself, but is told by
-	// the others; and if two at random are starting too, so is most of the fleet, which
-	// has nothing to tell and no time to lose.
+	// enoughPeers is how many answers are enough. A single peer may have an old
+	// configuration itself. If two random peers have none, most of the fleet is probably
+	// starting, and waiting for more answers would only delay the start.
 	enoughPeers = 2
 	// timeout bounds the delay of a start by peers that do not begin to answer. It is
 	// several round trips between regions.
@@ -108,7 +108,7 @@
 	answered  int
 	heard     int // Answers other than Unknown.
 	confirmed int // Answers of peers that have a configuration in force.
-	later     int
+	later     int // Answers with a later configuration.
 	timedOut  bool
 }
 
--- a/descriptor/ranking.go
+++ b/descriptor/ranking.go
@@ -1,7 +1,7 @@
 package descriptor
 
 // RankedServices returns the services whose calls differ in priority: by their classes and
-// routes, or since there are tenants.
+// routes, or because tenants may have priorities of their own.
 func (d Deployment) RankedServices() map[ServiceName]bool {
 	ranked := map[ServiceName]bool{}
 	priorities := map[ServiceName]int{}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -109,7 +109,7 @@
 	triedWorkers    []registrar.WorkerID
 	attemptsStarted int
 	constraint      limiter.Constraint
-	admitted        bool                 // A slot was requested before.
+	slotRequested   bool                 // At least once.
 	rejections      int                  // By the verifier.
 	rejectedWorkers []registrar.WorkerID // By the verifier, which are avoided.
 	closedWorkers   []registrar.WorkerID // By the verifier, which must not get the call.
@@ -161,8 +161,8 @@
 // admissionRequest returns the request for a slot. It names the workers that were
 // tried before, so that the limiter avoids them.
 func (c *activeCall) admissionRequest() limiter.Request {
-	isFirst := !c.admitted
-	c.admitted = true
+	isFirst := !c.slotRequested
+	c.slotRequested = true
 	return NewAdmissionRequest(c.call, c.constraint, isFirst, slices.Concat(c.triedWorkers, c.closedWorkers, c.rejectedWorkers)...)
 }
 
@@ -246,9 +246,9 @@
 // between caller and instance.
 const networkAllowance = 15 * time.Millisecond
 
-// declinedReturn is when the caller of a call is told to come back that a worker declined
-// although it has free slots: another worker may take it now.
-const declinedReturn = 2 * time.Millisecond
+// declinedRetryAfter is when a caller is told to retry after a worker with free slots has
+// declined the call: another worker may take it now.
+const declinedRetryAfter = 2 * time.Millisecond
 
 // minServerErrorStatus is the first HTTP status that counts as a server error.
 const minServerErrorStatus = 500
@@ -270,7 +270,7 @@
 		_, declined := a.result.(retrier.Declined)
 		answered := Answered{attempt: a.number, declined: declined, cancel: a.cancel, finish: c.finishFunc(a)}
 		if declined && c.serviceState.Pool().HasRoom(a.granted.Worker()) {
-			answered.retryAfter = declinedReturn
+			answered.retryAfter = declinedRetryAfter
 		}
 		return answered
 	case retrier.NotRun:
@@ -334,12 +334,12 @@
 		c.dispatcher.metrics.countOutcome(c.call, "over-limit")
 		return OverLimit{retryAfter: rejection.RetryAfter()}
 	}
-	return c.giveUpUntil(reason, c.returnAfter(rejection.RetryAfter()))
+	return c.giveUpWithRetryAfter(reason, c.retryAfter(rejection.RetryAfter()))
 }
 
-// returnAfter returns when the caller is told to come back, given the expected wait for a
+// retryAfter returns when the caller is told to retry, given the expected wait for a
 // slot, or 0 if that is unknown.
-func (c *activeCall) returnAfter(wait time.Duration) time.Duration {
+func (c *activeCall) retryAfter(wait time.Duration) time.Duration {
 	if wait <= 0 {
 		return 0
 	}
@@ -349,10 +349,11 @@
 
 // giveUp ends the call without a response: as unknown if an attempt may have run,
 // and otherwise as not run.
-func (c *activeCall) giveUp(reason string) Result { return c.giveUpUntil(reason, 0) }
+func (c *activeCall) giveUp(reason string) Result { return c.giveUpWithRetryAfter(reason, 0) }
 
-// giveUpUntil is giveUp for a call that may be served after retryAfter, if that is known.
-func (c *activeCall) giveUpUntil(reason string, retryAfter time.Duration) Result {
+// giveUpWithRetryAfter is giveUp for a call that may be served after retryAfter, or 0 if that
+// is unknown.
+func (c *activeCall) giveUpWithRetryAfter(reason string, retryAfter time.Duration) Result {
 	if c.history.MayHaveRun() {
 		c.dispatcher.metrics.countOutcome(c.call, "unknown")
 		return Unknown{reason: reason}
--- a/dispatcher/result.go
+++ b/dispatcher/result.go
@@ -26,7 +26,7 @@
 type Answered struct {
 	attempt  int
 	declined bool
-	// retryAfter is when the caller of a declined call is told to come back, or 0.
+	// retryAfter is when the caller of a declined call is told to retry, or 0.
 	retryAfter time.Duration
 	cancel     func()
 	finish     func(complete bool)
@@ -68,7 +68,7 @@
 // run.
 func (a Answered) Declined() bool { return a.declined }
 
-// RetryAfter returns when the caller of a declined call is told to come back, or 0 if that is
+// RetryAfter returns when the caller of a declined call is told to retry, or 0 if that is
 // unknown.
 func (a Answered) RetryAfter() time.Duration { return a.retryAfter }
 
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -27,9 +27,7 @@
 	"github.com/rs/zerolog"
 )
 
-const (
-	closeTimeout = time.Second
-)
+const closeTimeout = time.Second
 
 // Sources holds the components whose state the admin port shows.
 type Sources struct {
--- a/inspector/where_message.go
+++ b/inspector/where_message.go
@@ -8,6 +8,7 @@
 	"burdocklane/registrar"
 )
 
+// whereMessage is the JSON that an instance responds with at WherePath.
 type whereMessage struct {
 	Instance    string           `json:"instance"`
 	Revision    int64            `json:"revision"`
@@ -51,26 +52,26 @@
 }
 
 type whereCandidate struct {
-	Worker      string   `json:"worker"`
-	Region      string   `json:"region"`
-	Zone        string   `json:"availability-zone"`
-	State       string   `json:"state"`
-	Excluded    string   `json:"excluded,omitempty"`
-	Standing    string   `json:"standing"`
-	ScoreLow    int64    `json:"score-low"`
-	ScoreHigh   int64    `json:"score-high"`
-	ExpectedMs  float64  `json:"expected-ms"`
-	InFlight    int32    `json:"in-flight"`
-	Limit       int32    `json:"limit"`
-	Running     int32    `json:"running"`
-	Waiting     int32    `json:"waiting"`
-	Slots       int32    `json:"slots"`
-	Slowdown    float64  `json:"slowdown"`
-	ReportAgeMs *float64 `json:"report-age-ms,omitempty"`
-	Since       int32    `json:"sent-since-report"`
-	Seen        int32    `json:"known-in-flight"`
-	Cold        bool     `json:"cold,omitempty"`
-	Declines    float64  `json:"decline-share,omitempty"`
+	Worker          string   `json:"worker"`
+	Region          string   `json:"region"`
+	Zone            string   `json:"availability-zone"`
+	State           string   `json:"state"`
+	Excluded        string   `json:"excluded,omitempty"`
+	Standing        string   `json:"standing"`
+	ScoreLow        int64    `json:"score-low"`
+	ScoreHigh       int64    `json:"score-high"`
+	ExpectedMs      float64  `json:"expected-ms"`
+	InFlight        int32    `json:"in-flight"`
+	Limit           int32    `json:"limit"`
+	Running         int32    `json:"running"`
+	Waiting         int32    `json:"waiting"`
+	Slots           int32    `json:"slots"`
+	Slowdown        float64  `json:"slowdown"`
+	ReportAgeMs     *float64 `json:"report-age-ms,omitempty"`
+	SentSinceReport int32    `json:"sent-since-report"`
+	KnownInFlight   int32    `json:"known-in-flight"`
+	Cold            bool     `json:"cold,omitempty"`
+	Declines        float64  `json:"decline-share,omitempty"`
 }
 
 type whereDecision struct {
@@ -151,7 +152,7 @@
 		ScoreLow: low, ScoreHigh: high, ExpectedMs: milliseconds(time.Duration(c.Candidate().Latency())),
 		InFlight: c.Candidate().InFlight(), Limit: c.Candidate().Limit(),
 		Running: load.Running(), Waiting: load.Waiting(), Slots: load.Slots(), Slowdown: load.Slowdown(),
-		Since: load.SentSinceReport(), Seen: load.KnownInFlight(), Cold: load.IsCold(), Declines: w.DeclineRate(),
+		SentSinceReport: load.SentSinceReport(), KnownInFlight: load.KnownInFlight(), Cold: load.IsCold(), Declines: w.DeclineRate(),
 	}
 	if age, ok := load.Age(); ok {
 		ageMs := milliseconds(age)
--- a/inspector/where_table.go
+++ b/inspector/where_table.go
@@ -105,7 +105,7 @@
 		age = fmt.Sprintf("%gms", *c.ReportAgeMs)
 	}
 	fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%gms\t%s\t%d/%d\t%d\t%d\t%d\t%s\t%d\t%d\t%s\n", c.Worker, c.Region, c.Zone, state, c.Standing,
-		c.ExpectedMs, c.scoreText(), c.InFlight, c.Limit, c.Running, c.Waiting, c.Slots, slowdown, c.Since, c.Seen, age)
+		c.ExpectedMs, c.scoreText(), c.InFlight, c.Limit, c.Running, c.Waiting, c.Slots, slowdown, c.SentSinceReport, c.KnownInFlight, age)
 }
 
 // scoreText prints a score of a policy that orders by calls or turns as a number, and one
--- a/listener/arrivals.go
+++ b/listener/arrivals.go
@@ -22,7 +22,7 @@
 type arrival struct {
 	net.Conn
 	received atomic.Bool
-	closed   func()
+	closed   func() // Called by Close.
 }
 
 // Read implements net.Conn.
@@ -34,7 +34,8 @@
 	return n, err
 }
 
-// CloseWrite ends the side of the process, as [acceptor.Conn] does on behalf of net/http.
+// CloseWrite closes the process's side of the connection. [acceptor.Conn] calls it for
+// net/http.
 func (a *arrival) CloseWrite() error {
 	if half, ok := a.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
--- a/listener/awaited.go
+++ b/listener/awaited.go
@@ -16,8 +16,8 @@
 	return copyBufferBytes + max(0, min(response.ContentLength, maxAnswerBytes))
 }
 
-// awaitedBody is the body of a worker's response. While it is waited for, its caller does
-// not count as one that stands still.
+// awaitedBody is the body of a worker's response. While it is waited for, the
+// request does not count as stalled.
 type awaitedBody struct {
 	io.ReadCloser
 	held *acceptor.Request
--- a/listener/body.go
+++ b/listener/body.go
@@ -58,8 +58,8 @@
 	return b, b.buffer(l)
 }
 
-// buffer reads a body as it arrives. A body without a stated length that is too long to be
-// buffered is streamed from its beginning.
+// buffer reads a body, and asks for room as it arrives. A body without a stated length that
+// is too long to be buffered is streamed from its beginning.
 func (b *requestBody) buffer(l bodyLimits) error {
 	maxBytes := l.maxBuffered
 	if b.length >= 0 {
@@ -75,7 +75,7 @@
 			break
 		}
 		var err error
-		if data, err = grow(data, maxBytes, l); err != nil {
+		if data, err = growBuffer(data, maxBytes, l); err != nil {
 			return err
 		}
 		n, err := b.stream.Read(data[len(data):cap(data)])
@@ -94,8 +94,8 @@
 	return nil
 }
 
-// grow doubles a buffer that is full, up to one byte more than the longest body.
-func grow(data []byte, maxBytes int64, l bodyLimits) ([]byte, error) {
+// growBuffer doubles a buffer that is full, up to one byte more than the longest body.
+func growBuffer(data []byte, maxBytes int64, l bodyLimits) ([]byte, error) {
 	if len(data) < cap(data) {
 		return data, nil
 	}
@@ -125,7 +125,7 @@
 	io.ReadCloser
 	control     *http.ResponseController
 	timeout     time.Duration
-	progress    func(bytes int)
+	progress    func(bytes int) // Gets the size of each read.
 	interrupted atomic.Bool
 	atEOF       atomic.Bool
 	failed      atomic.Bool // The caller did not send the rest, or not in time.
@@ -158,9 +158,9 @@
 // for the rest of it.
 func (b *deadlineBody) Close() error { return nil }
 
-// Interrupt makes a read that waits, and all later ones, fail. Read sets its deadline
+// interrupt makes a read that waits, and all later ones, fail. Read sets its deadline
 // before it looks whether it is interrupted, so that none waits afterwards.
-func (b *deadlineBody) Interrupt() {
+func (b *deadlineBody) interrupt() {
 	b.interrupted.Store(true)
 	if !b.atEOF.Load() {
 		b.control.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // The connection has ended.
@@ -168,13 +168,13 @@
 }
 
 // interruptAfter interrupts the body once the context ends, until the function that it
-// returns is called. That waits for an Interrupt in progress: once the handler has returned,
+// returns is called. That waits for an interrupt in progress: once the handler has returned,
 // the connection is another request's, and HTTP/2 panics on a use of the stream.
 func (b *deadlineBody) interruptAfter(ctx context.Context) (stop func()) {
 	done := make(chan struct{})
 	stopped := context.AfterFunc(ctx, func() {
 		defer close(done)
-		b.Interrupt()
+		b.interrupt()
 	})
 	return func() {
 		if !stopped() {
--- a/listener/handler.go
+++ b/listener/handler.go
@@ -118,13 +118,7 @@
 	done, ok := result.(dispatcher.Answered)
 	if !ok {
 		held.BeginAnswer(0)
-		write := func() { h.writeResultError(w, head.ID(), result) }
-		if !body.isRead() {
-			h.answerUnread(w, r, write)
-			return
-		}
-		h.limitStream(w, r)
-		write()
+		h.answerError(w, r, head.ID(), result, body.isRead())
 		return
 	}
 	response := x.response(done.Attempt())
@@ -133,6 +127,17 @@
 	h.forwardResponse(w, head.ID(), done, response)
 }
 
+// answerError answers a call without a worker's response.
+func (h *Handler) answerError(w http.ResponseWriter, r *http.Request, id string, result dispatcher.Result, isBodyRead bool) {
+	write := func() { h.writeResultError(w, id, result) }
+	if !isBodyRead {
+		h.answerUnread(w, r, write)
+		return
+	}
+	h.setStreamDeadline(w, r)
+	write()
+}
+
 // checkRequest returns the status and the reason for rejecting an unsupported
 // request, or 0 if the request can be dispatched.
 func (h *Handler) checkRequest(r *http.Request) (int, string) {
@@ -147,6 +152,8 @@
 	return 0, ""
 }
 
+// limitBody returns the body of a request with the limits on its length and on the time
+// of each read.
 func (h *Handler) limitBody(w http.ResponseWriter, r *http.Request, held *acceptor.Request) *deadlineBody {
 	b := &deadlineBody{ReadCloser: r.Body, control: http.NewResponseController(w), timeout: h.limits.BodyTimeout(), progress: held.Progress}
 	if r.ContentLength != 0 {
--- a/listener/refusal.go
+++ b/listener/refusal.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// limitStream bounds the time in which a caller takes the answer on a stream. For a
+// setStreamDeadline bounds the time in which a caller takes the answer on a stream. For a
 // connection with one request at a time, the connection does so.
-func (h *Handler) limitStream(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) setStreamDeadline(w http.ResponseWriter, r *http.Request) {
 	if r.ProtoMajor > 1 {
 		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.limits.BodyTimeout())) //nolint:errcheck // The connection has ended.
 	}
--- a/listener/unread.go
+++ b/listener/unread.go
@@ -17,7 +17,7 @@
 // answerUnread writes an answer with write before the body of the request was read to its
 // end. The connection ends with it.
 func (h *Handler) answerUnread(w http.ResponseWriter, r *http.Request, write func()) {
-	h.limitStream(w, r)
+	h.setStreamDeadline(w, r)
 	if r.ContentLength == 0 {
 		write()
 		return
--- a/parser/deployment.go
+++ b/parser/deployment.go
@@ -29,7 +29,7 @@
 	checkName(violations, "deployment", name)
 	budget := parseMeasurementBudget(&root)
 	services := parseServices(&root)
-	tenants := parseTenantsOf(&root)
+	tenants := parseOptionalTenants(&root)
 	root.reportUnknown()
 	return descriptor.NewDeployment(name, budget, services).WithTenants(tenants), violations.err(source)
 }
--- a/parser/tenants.go
+++ b/parser/tenants.go
@@ -41,8 +41,8 @@
 	return data, nil
 }
 
-// parseTenantsOf parses the tenants of a deployment, which may have none.
-func parseTenantsOf(root *object) []descriptor.Tenant {
+// parseOptionalTenants parses the tenants of a deployment, which may have none.
+func parseOptionalTenants(root *object) []descriptor.Tenant {
 	if _, declared := root.fields["tenants"]; !declared {
 		return nil
 	}
--- a/previewer/answer.go
+++ b/previewer/answer.go
@@ -11,7 +11,7 @@
 // Answer is what would become of a request: Unmatched, Unauthorized or Routed.
 type Answer interface{ answer() }
 
-// Unmatched means that no class matches the request.
+// Unmatched means that no class matches the request, or that no configuration is in force.
 type Unmatched struct {
 	revision descriptor.Revision
 	reason   string
--- a/previewer/previewer.go
+++ b/previewer/previewer.go
@@ -134,16 +134,17 @@
 	return request.LocalOnly()
 }
 
+// findTenant returns the named tenant, or nil for "". The error is a *TenantError.
 func findTenant(snapshot *publisher.Snapshot, name descriptor.TenantName) (*descriptor.Tenant, error) {
+	if name == "" {
+		return nil, nil
+	}
 	tenants := snapshot.Deployment().Tenants()
 	for i := range tenants {
-		if name != "" && tenants[i].Name() == name {
+		if tenants[i].Name() == name {
 			return &tenants[i], nil
 		}
 	}
-	if name == "" {
-		return nil, nil
-	}
 	return nil, &TenantError{revision: snapshot.Deployment().Revision()}
 }
 
--- a/relayer/configuration.go
+++ b/relayer/configuration.go
@@ -27,8 +27,8 @@
 
 // activeConfiguration is the configuration in force. It is immutable.
 type activeConfiguration struct {
-	version  descriptor.Revision
-	encoding func() *encoding
+	version descriptor.Revision
+	encode  func() *encoding // The value as it is sent; encoded on first use.
 }
 
 // PublishConfiguration publishes the value of the configuration in force, a JSON
@@ -36,7 +36,7 @@
 // is a relay.
 func (r *Relay) PublishConfiguration(version descriptor.Revision, value []byte) {
 	encode := sync.OnceValue(func() *encoding { return encodingOf(value) })
-	r.active.Store(&activeConfiguration{version: version, encoding: encode})
+	r.active.Store(&activeConfiguration{version: version, encode: encode})
 }
 
 // serveConfiguration responds with the configuration in force, as it was read from the
@@ -52,7 +52,7 @@
 		w.WriteHeader(statusNotLater)
 		return
 	}
-	active.encoding().write(w, request)
+	active.encode().write(w, request)
 }
 
 // ConfigurationClient fetches the configurations that peers have in force.
--- a/sender/exchange.go
+++ b/sender/exchange.go
@@ -140,7 +140,8 @@
 
 // isReusable reports whether the connection can carry another request after this one
 // as far as the response tells: a worker that leaves out the ID of a request cannot
-// be told from one that repeats a response.
+// be told from one that repeats a response. Nor can the start of the next response be told
+// from a body that the last one cannot have.
 func (x *exchange) isReusable() bool {
 	return !x.extraBody && (x.identified || x.requestID() == "")
 }
--- a/sender/pool.go
+++ b/sender/pool.go
@@ -12,7 +12,7 @@
 type connStack struct {
 	head  atomic.Pointer[node]
 	size  atomic.Int32
-	total *atomic.Int64 // The connections of all stacks.
+	total *atomic.Int64 // The size of all stacks of the Sender together.
 }
 
 type node struct {
--- a/shedder/choose.go
+++ b/shedder/choose.go
@@ -8,14 +8,14 @@
 // Candidate is a connection or a stream that may be ended.
 type Candidate struct {
 	bytes        int64
-	standing     time.Duration
+	stalled      time.Duration
 	isConnection bool
 }
 
-// NewCandidate returns a candidate that holds so many bytes, and lags so far behind the
-// slowest transfer that is let pass.
-func NewCandidate(bytes int64, standing time.Duration, isConnection bool) Candidate {
-	return Candidate{bytes: bytes, standing: standing, isConnection: isConnection}
+// NewCandidate returns a candidate that holds so many bytes, and has been stalled for so
+// long.
+func NewCandidate(bytes int64, stalled time.Duration, isConnection bool) Candidate {
+	return Candidate{bytes: bytes, stalled: stalled, isConnection: isConnection}
 }
 
 // Excess is what has to be given back: memory, and a number of connections.
@@ -31,13 +31,13 @@
 
 func (e Excess) isPositive() bool { return e.bytes > 0 || e.connections > 0 }
 
-// minStanding is the least time for which a candidate counts, so that those that arrived
-// at the same moment are told apart by their size.
-const minStanding = time.Millisecond
+// minStalled is the least time for which a candidate counts as stalled, so that those that
+// arrived at the same moment are told apart by their size.
+const minStalled = time.Millisecond
 
-// weight is the product of what a candidate holds and how long it stands still.
+// weight is the product of what a candidate holds and how long it has been stalled.
 func (c Candidate) weight() float64 {
-	return float64(c.bytes) * max(c.standing, minStanding).Seconds()
+	return float64(c.bytes) * max(c.stalled, minStalled).Seconds()
 }
 
 // Choose returns the indexes of the candidates to end until the excess is given back, those
--- a/shedder/holding.go
+++ b/shedder/holding.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// minBytesPerSecond is the slowest transfer that counts as progress. A transfer that is
-// slower lags behind, and is ended earlier.
+// minBytesPerSecond is the slowest transfer that does not count as stalled. The slower a
+// transfer is below it, the more of its time counts as stalled.
 const minBytesPerSecond = 16 << 10
 
-// ended is the number of calls of a holding that has ended.
+// ended is the number of pins of a holding that has ended.
 const ended = -1
 
 // Holding is what one connection, or one stream on a connection, holds.
@@ -17,10 +17,10 @@
 	shedder      *Shedder
 	end          func()
 	isConnection bool
-	calls        atomic.Int32 // Calls in flight, during which it is not ended, or ended.
+	pins         atomic.Int32 // While there are any, it is not ended; or the constant ended.
 	bytes        atomic.Int64
 	sockets      atomic.Int64
-	since        atomic.Int64 // In nanoseconds: when it began to stand still.
+	since        atomic.Int64 // In nanoseconds: when it began to stall. Progress moves it.
 	waitSince    atomic.Int64 // In nanoseconds: when it began to wait for a worker, or 0.
 }
 
@@ -31,15 +31,15 @@
 // writing an answer.
 func (h *Holding) Begin(now time.Time) { h.since.Store(now.UnixNano()) }
 
-// Progress says that so many bytes were transferred. A transfer at the least speed or more
-// does not grow older.
+// Progress says that so many bytes were transferred. Their time at minBytesPerSecond does
+// not count as stalled.
 func (h *Holding) Progress(bytes int, now time.Time) {
 	credit := int64(bytes) * int64(time.Second) / minBytesPerSecond
 	h.since.Store(min(now.UnixNano(), h.since.Load()+credit))
 }
 
-// BeginWait says that the process waits for a worker to go on with an answer: the caller
-// is not the one that stands still, until EndWait.
+// BeginWait says that the process waits for a worker to go on with an answer: until
+// EndWait, the holding does not count as stalled.
 func (h *Holding) BeginWait(now time.Time) { h.waitSince.Store(now.UnixNano()) }
 
 // EndWait ends a wait.
@@ -48,8 +48,8 @@
 	h.waitSince.Store(0)
 }
 
-// standing returns how long the holding has stood still.
-func (h *Holding) standing(now time.Time) time.Duration {
+// stalledFor returns how long the holding has been stalled.
+func (h *Holding) stalledFor(now time.Time) time.Duration {
 	until := h.waitSince.Load()
 	if until == 0 {
 		until = now.UnixNano()
@@ -87,24 +87,24 @@
 }
 
 // BeginCall says that the request is about to be dispatched, while its body is still being
-// sent if it is streamed. From then on the holding is not ended, until BeginAnswer. It
+// sent if it is an upload. From then on the holding is not ended, until BeginAnswer. It
 // reports false if it was ended already, or if there is no room for a call.
-func (h *Holding) BeginCall(isStreamed bool) bool {
+func (h *Holding) BeginCall(isUpload bool) bool {
 	s := h.shedder
-	if !s.countCall(isStreamed) {
+	if !s.countCall(isUpload) {
 		return false
 	}
 	if s.take(CallBytes, 0, 1) && h.add(CallBytes, 1) && h.Pin() {
 		return true
 	}
-	s.uncountCall(isStreamed)
+	s.uncountCall(isUpload)
 	return false
 }
 
 // BeginAnswer says that the answer to a call is about to be written. From then on the
 // holding may be ended again.
-func (h *Holding) BeginAnswer(isStreamed bool, now time.Time) {
-	h.shedder.uncountCall(isStreamed)
+func (h *Holding) BeginAnswer(isUpload bool, now time.Time) {
+	h.shedder.uncountCall(isUpload)
 	h.Unpin(now)
 }
 
@@ -123,11 +123,11 @@
 // already.
 func (h *Holding) Pin() bool {
 	for {
-		calls := h.calls.Load()
-		if calls == ended {
+		pins := h.pins.Load()
+		if pins == ended {
 			return false
 		}
-		if h.calls.CompareAndSwap(calls, calls+1) {
+		if h.pins.CompareAndSwap(pins, pins+1) {
 			return true
 		}
 	}
@@ -137,18 +137,18 @@
 func (h *Holding) Unpin(now time.Time) {
 	h.Begin(now)
 	for {
-		calls := h.calls.Load()
-		if calls == ended || h.calls.CompareAndSwap(calls, calls-1) {
+		pins := h.pins.Load()
+		if pins == ended || h.pins.CompareAndSwap(pins, pins-1) {
 			return
 		}
 	}
 }
 
-func (h *Holding) hasEnded() bool { return h.calls.Load() == ended }
+func (h *Holding) hasEnded() bool { return h.pins.Load() == ended }
 
 // Close gives back all that is held.
 func (h *Holding) Close() {
-	if h.calls.Swap(ended) == ended {
+	if h.pins.Swap(ended) == ended {
 		return
 	}
 	h.shedder.holdings.Delete(h)
@@ -179,9 +179,9 @@
 	h.shedder.giveBack(h.bytes.Swap(0), connections, h.sockets.Swap(0))
 }
 
-// End ends the holding unless a call is in flight, and reports whether it did.
+// End ends the holding unless it is pinned, and reports whether it did.
 func (h *Holding) End() bool {
-	if !h.calls.CompareAndSwap(0, ended) {
+	if !h.pins.CompareAndSwap(0, ended) {
 		return false
 	}
 	h.shedder.holdings.Delete(h)
--- a/shedder/limits.go
+++ b/shedder/limits.go
@@ -21,14 +21,14 @@
 	minCheckSockets  = 8
 	minCheckBytes    = minCheckSockets * 2 * ConnectionBytes
 	// growthShare is the part of the memory for callers that heads, bodies and answers may
-	// take. The rest is for connections and short requests only, so that a crowd with
-	// long ones leaves ordinary callers a way in.
+	// take. The rest is for connections and short requests only, so that many long
+	// requests leave room for new connections.
 	growthShare = 3.0 / 4
 	// callShare is the part of the limit of the sockets that calls in flight may reach, each
-	// with two sockets, and streamShare the part of the calls whose bodies are still being
+	// with two sockets, and uploadShare the part of the calls whose bodies are still being
 	// sent while their workers wait. Both leave room for other callers.
 	callShare   = 3.0 / 8
-	streamShare = 1.0 / 2
+	uploadShare = 1.0 / 2
 	// lowShare is the part of a limit down to which connections are ended once the limit is
 	// reached, so that they are not compared for each new one.
 	lowShare = 15.0 / 16
@@ -90,9 +90,9 @@
 // maxCalls returns how many calls may be in flight, or 0 for no limit.
 func (l Limits) maxCalls() int64 { return share(l.sockets, callShare) }
 
-// maxStreams returns how many of them may have a body that is still being sent, or 0 for no
+// maxUploads returns how many of them may have a body that is still being sent, or 0 for no
 // limit.
-func (l Limits) maxStreams() int64 { return share(l.maxCalls(), streamShare) }
+func (l Limits) maxUploads() int64 { return share(l.maxCalls(), uploadShare) }
 
 // Bytes returns the limit of the memory.
 func (l Limits) Bytes() int64 { return l.bytes }
--- a/shedder/reporter.go
+++ b/shedder/reporter.go
@@ -10,15 +10,15 @@
 
 var (
 	endedHoldings = metrics.NewCounter("burdocklane_callers_ended_total")
-	refusedRooms  = metrics.NewCounter("burdocklane_callers_refused_total")
+	refusals      = metrics.NewCounter("burdocklane_callers_refused_total")
 )
 
-// quietPeriod is how long nobody has to be turned away until the log says that it has
-// ended.
+// quietPeriod is how long no caller is refused or ended until the log says that callers are
+// within the limits again.
 const quietPeriod = 5 * time.Second
 
-// reporter writes one log line when callers begin to be turned away, and one when none has
-// been for the quiet period.
+// reporter writes one log line when callers begin to be refused or ended, and one when none
+// has been for the quiet period.
 type reporter struct {
 	log  zerolog.Logger
 	port string
@@ -46,14 +46,14 @@
 
 // refuse counts a caller that found no room.
 func (r *reporter) refuse() {
-	refusedRooms.Inc()
+	refusals.Inc()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.refused++
 	r.extend()
 }
 
-// extend begins the period in which callers are turned away, or makes it longer.
+// extend begins the period in which callers are refused or ended, or makes it longer.
 func (r *reporter) extend() {
 	switch {
 	case r.closed:
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -16,7 +16,7 @@
 	connections atomic.Int64
 	sockets     atomic.Int64
 	calls       atomic.Int64
-	streams     atomic.Int64 // Calls whose bodies are streamed.
+	uploads     atomic.Int64 // Calls whose bodies are sent while their workers wait.
 	holdings    sync.Map     // From *Holding to nothing.
 	shedding    sync.Mutex   // Serializes the choice of holdings to end.
 	now         func() time.Time
@@ -29,8 +29,8 @@
 // WithClock replaces the clock.
 func WithClock(now func() time.Time) Option { return func(s *Shedder) { s.now = now } }
 
-// WithLog sets the log for the moments at which the Shedder begins and ends to turn
-// callers away. The name says which port they are at.
+// WithLog sets the log for the moments at which the Shedder begins and ceases to refuse
+// or end callers. The name says which port they are at.
 func WithLog(log zerolog.Logger, port string) Option {
 	return func(s *Shedder) { s.reporter = newReporter(log, port) }
 }
@@ -44,7 +44,7 @@
 	return s
 }
 
-// Close ends the report that is due.
+// Close logs the end of a period in which callers are refused or ended.
 func (s *Shedder) Close() { s.reporter.close() }
 
 // Held returns the number of bytes that are held.
@@ -104,22 +104,22 @@
 }
 
 // countCall counts a call, and reports whether there is room for it.
-func (s *Shedder) countCall(isStreamed bool) bool {
+func (s *Shedder) countCall(isUpload bool) bool {
 	hasRoom := above(s.calls.Add(1), s.limits.maxCalls()) <= 0
-	if isStreamed {
-		hasRoom = above(s.streams.Add(1), s.limits.maxStreams()) <= 0 && hasRoom
+	if isUpload {
+		hasRoom = above(s.uploads.Add(1), s.limits.maxUploads()) <= 0 && hasRoom
 	}
 	if !hasRoom {
-		s.uncountCall(isStreamed)
+		s.uncountCall(isUpload)
 		s.reporter.refuse()
 	}
 	return hasRoom
 }
 
-func (s *Shedder) uncountCall(isStreamed bool) {
+func (s *Shedder) uncountCall(isUpload bool) {
 	s.calls.Add(-1)
-	if isStreamed {
-		s.streams.Add(-1)
+	if isUpload {
+		s.uploads.Add(-1)
 	}
 }
 
@@ -164,7 +164,8 @@
 	return count - limit
 }
 
-// aboveLow returns how much to give back if a count exceeds a limit.
+// aboveLow returns by how much a count exceeds lowShare of a limit, or 0 if it is within the
+// limit.
 func aboveLow(count, limit int64) int64 {
 	if above(count, limit) <= 0 {
 		return 0
@@ -196,9 +197,9 @@
 	now := s.now()
 	s.holdings.Range(func(key, _ any) bool {
 		h := key.(*Holding)
-		if h.calls.Load() == 0 {
+		if h.pins.Load() == 0 {
 			holdings = append(holdings, h)
-			candidates = append(candidates, NewCandidate(h.bytes.Load(), h.standing(now), h.isConnection))
+			candidates = append(candidates, NewCandidate(h.bytes.Load(), h.stalledFor(now), h.isConnection))
 		}
 		return true
 	})
--- a/supervisor/machine.go
+++ b/supervisor/machine.go
@@ -13,8 +13,8 @@
 	// goMemoryRatio is the part of the machine's memory that the limit of the Go runtime
 	// (GOMEMLIMIT) is expected to be.
 	goMemoryRatio = 0.6
-	// fileDescriptors are the descriptors that are kept for files.
-	fileDescriptors = 200
+	// reservedDescriptors are the descriptors that are kept for files.
+	reservedDescriptors = 200
 )
 
 // machineMemory returns the memory that the process may use: as the settings say, or as
@@ -40,5 +40,5 @@
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
 		return 0
 	}
-	return max(int64(limit.Cur)-fileDescriptors, 1)
+	return max(int64(limit.Cur)-reservedDescriptors, 1)
 }
