Ask all allowed regions for a free worker before a ranked call waits in one

Cause: a call with allowed regions asked their schedulers in turn, and a ranked one waits in the first as long as it can be on time: handoffs, which two regions serve, waited in one beside free workers of the other. Change: all allowed regions are first asked for a worker that is free, then the call waits in the first.

--- a/scheduler/confined.go
+++ b/scheduler/confined.go
@@ -18,13 +18,29 @@
 )
 
 // assignConfined returns the worker for a call that may be processed in some regions only.
-// It asks the schedulers of these regions one after another, until one assigns a worker:
-// a scheduler that assigns for another region's instance knows no other region to forward
-// the call to. If all of them are silent, the pool decides.
+// Ranked calls may wait for long: before one does in the first region, all are asked for a
+// worker that is free.
 func (s *Scheduler) assignConfined(ctx context.Context, p *limiter.Pool, request limiter.Request) limiter.Assignment {
+	regions := s.allowedRegions(p, request)
+	if p.RanksCalls() && len(regions) > 1 && !request.NoWait() {
+		assignment, next := s.askRegions(ctx, p, regions, request, limiter.Request.WithoutWaiting)
+		if isDecided(assignment) || ctx.Err() != nil {
+			return assignment
+		}
+		request = next
+	}
+	assignment, _ := s.askRegions(ctx, p, regions, request, func(r limiter.Request) limiter.Request { return r })
+	return assignment
+}
+
+// askRegions asks the schedulers of the regions one after another, until one assigns a
+// worker: a scheduler that assigns for another region's instance knows no other region to
+// forward the call to. If all of them are silent, the pool decides. It also returns the
+// request for asking again.
+func (s *Scheduler) askRegions(ctx context.Context, p *limiter.Pool, regions []string, request limiter.Request, prepare func(limiter.Request) limiter.Request) (limiter.Assignment, limiter.Request) {
 	var result limiter.Assignment = limiter.Undecided{}
-	for _, region := range s.allowedRegions(p, request) {
-		assignment := s.assignIn(ctx, region, p, request.ConfinedTo(region))
+	for _, region := range regions {
+		assignment := s.assignIn(ctx, region, p, prepare(request.ConfinedTo(region)))
 		switch r := assignment.(type) {
 		case limiter.Undecided:
 			if r.IsCharged() {
@@ -34,13 +50,23 @@
 		case limiter.Rejected: // The scheduler gave the token back.
 			result = r
 		default:
-			return assignment
+			return assignment, request
 		}
 		if ctx.Err() != nil || time.Until(request.Deadline()) < remoteTimeout {
-			return result
+			break
 		}
 	}
-	return result
+	return result, request
+}
+
+// isDecided reports whether a scheduler assigned a worker, or refused the call for another
+// reason than its lack of room.
+func isDecided(a limiter.Assignment) bool {
+	switch a.(type) {
+	case limiter.Undecided, limiter.Rejected:
+		return false
+	}
+	return true
 }
 
 // assignIn requests an assignment from the scheduler of a region.
--- a/scheduler/confined_test.go
+++ b/scheduler/confined_test.go
@@ -168,3 +168,26 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Pattern: too little room in one of two allowed regions, whose calls may wait for long as
+// they are ranked. Guards against one that waits there beside free workers of the other.
+func TestRankedConfinedCallDoesNotWaitBesideFreeWorkers(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	const timeout = 300 * time.Millisecond // Less than a ranked call may wait in a region.
+	c := qt.New(t)
+	r := newThreeRegions(c)
+	for _, p := range r.pools {
+		p.SetRanksCalls(true)
+	}
+	got := ""
+	for n := 0; n < 20 && got != "b"; n++ { // A busy machine may delay replies.
+		r.report(nil)
+		for _, p := range r.pools {
+			p.RecordReport(p.Find("a"), tracker.NewReport(3, 0, 3, 1, p.Now()))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		got = outcomeOf(r.schedulers[0].Assign(ctx, r.pools[0], confinedRequest("a", "b")))
+		cancel()
+	}
+	c.Assert(got, qt.Equals, "b")
+}
