Names and comments that a newcomer stumbles on

No behaviour changes, and no text that leaves the process.

- Names: peer instead of hearsay (RecordPeerCold, peerRevision), balance instead of stock, exhausted instead of scarce, as the granter says; flagHedge, canServe, answers and voteUntil of the elector; the requester of a pending request, as owner is that of the rate limits.
- Comments: fields of the elector, holder, authority and account; sentences that could not be understood; limitTerms is not quite immutable.
- sharer: activeWeights tells its three cases one after another.

--- a/charger/account.go
+++ b/charger/account.go
@@ -30,6 +30,9 @@
 	maxRequestsWithToken = 3
 	// returnFactor times what a holder wants is what it keeps of a tenant's tokens.
 	returnFactor = 1.5
+	// grantRateTime is the seconds of the grant rate, which is an integer: small limits grant
+	// less than a token a second.
+	grantRateTime = 1000
 	// unknown is the value of known while the owner may know something else.
 	unknown = -1
 )
@@ -37,23 +40,23 @@
 // account holds a tenant's tokens. Calls use the atomic fields; the others belong to the
 // one that exchanges messages with the owner.
 type account struct {
-	tenant  uint32
-	period  atomic.Pointer[period]
-	stock   stock
-	calls   atomic.Int64 // Since the last request.
-	refused atomic.Int64 // Since the last reply.
-	scarce  atomic.Bool  // The tenant has used up its limit, as the owner last said.
-	income  atomic.Int64 // Tokens per 1,000 seconds that the owner grants.
-	granted atomic.Int64 // When the owner last granted tokens.
-
-	place    int // In the order of accounts.
+	tenant    uint32
+	period    atomic.Pointer[period]
+	balance   balance
+	calls     atomic.Int64 // Since the last request.
+	refused   atomic.Int64 // Since the last reply.
+	exhausted atomic.Bool  // The tenant has used up its limit, as the owner last said.
+	grantRate atomic.Int64 // Tokens that the owner grants in grantRateTime; a moving average.
+	granted   atomic.Int64 // When the owner last granted tokens.
+
+	place    int // Index in the order of accounts.
 	capacity float64
-	rate     float64 // Calls a second.
-	known    int     // The balance that the owner knows, or unknown.
-	reported int
-	wanted   int
+	rate     float64       // Calls a second.
+	known    int           // The balance that the owner knows, or unknown.
+	reported int           // The balance in the last request that had the tenant.
+	wanted   int           // Tokens that the holder would have.
 	asked    time.Duration // When the last request had the tenant.
-	requests int           // Since the last call.
+	requests int           // Requests that had the tenant since its last call.
 }
 
 // period is the time between two reports of an account's balance to the owner. A token that
@@ -63,6 +66,7 @@
 	number  uint32
 }
 
+// newAccount returns an account without tokens. The first request may have it at once.
 func newAccount(tenant uint32) *account {
 	a := &account{tenant: tenant, known: unknown, asked: -askAgainInterval}
 	a.beginPeriod()
@@ -71,21 +75,21 @@
 
 // beginPeriod begins a period, and returns the tokens at that moment.
 func (a *account) beginPeriod() (tokens int64) {
-	number, tokens := a.stock.beginPeriod()
+	number, tokens := a.balance.beginPeriod()
 	a.period.Store(&period{account: a, number: number})
 	return tokens
 }
 
 // void drops all tokens.
 func (a *account) void() {
-	a.period.Store(&period{account: a, number: a.stock.void()})
+	a.period.Store(&period{account: a, number: a.balance.void()})
 }
 
 // take uses a token. It returns the period in which it can be given back, or nil, and how
 // many tokens are left; and false if there was none.
 func (a *account) take() (p *period, left int64, ok bool) {
 	p = a.period.Load()
-	left, number, ok := a.stock.take()
+	left, number, ok := a.balance.take()
 	if p.number != number { // A period is just beginning.
 		p = nil
 	}
@@ -113,8 +117,8 @@
 // giveBack reduces the balance to what the holder wants if it is much more. The owner
 // learns of it by the next request.
 func (a *account) giveBack() {
-	if float64(a.stock.tokens()) > returnFactor*float64(a.wanted) {
-		a.stock.reduce(int64(a.wanted))
+	if float64(a.balance.tokens()) > returnFactor*float64(a.wanted) {
+		a.balance.reduce(int64(a.wanted))
 	}
 }
 
@@ -128,11 +132,13 @@
 	dueForCalls
 )
 
+// due returns whether the next request has to have the tenant, which got so many calls since
+// the last one.
 func (a *account) due(now time.Duration, calls int64) due {
 	if calls > 0 {
 		a.requests = 0
 	}
-	balance := int(a.stock.tokens())
+	balance := int(a.balance.tokens())
 	limit := maxRequests
 	if balance > 0 {
 		limit = maxRequestsWithToken
@@ -149,6 +155,7 @@
 	return notDue
 }
 
+// demand begins a period and returns the demand for the next request.
 func (a *account) demand(now time.Duration) granter.Demand {
 	a.reported = int(min(a.beginPeriod(), math.MaxUint16))
 	a.known, a.asked = unknown, now
@@ -158,22 +165,20 @@
 
 // apply adds the tokens that the owner granted for the last request.
 func (a *account) apply(now, elapsed time.Duration, g granter.Grant) {
-	a.stock.add(g.Tokens())
+	a.balance.add(g.Tokens())
 	a.known = a.reported + g.Tokens()
-	a.scarce.Store(g.IsExhausted())
+	a.exhausted.Store(g.IsExhausted())
 	a.refused.Store(0)
 	if g.Tokens() > 0 {
 		a.granted.Store(int64(now))
 	}
-	const perThousand = 1000
-	income := float64(g.Tokens()) / max(elapsed, time.Millisecond).Seconds() * perThousand
-	a.income.Store(int64((float64(a.income.Load()) + income) / 2))
+	grantRate := float64(g.Tokens()) / max(elapsed, time.Millisecond).Seconds() * grantRateTime
+	a.grantRate.Store(int64((float64(a.grantRate.Load()) + grantRate) / 2))
 }
 
 // retryAfter estimates when a token will be there for the caller that is refused now.
 func (a *account) retryAfter(random float64) time.Duration {
-	const perThousand = 1000
-	perSecond := max(float64(a.income.Load())/perThousand, 1/maxRetryAfter.Seconds())
+	perSecond := max(float64(a.grantRate.Load())/grantRateTime, 1/maxRetryAfter.Seconds())
 	wait := float64(a.refused.Load()+1) / perSecond * (0.5 + random)
 	return min(max(time.Duration(wait*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -95,7 +95,7 @@
 		}
 		return Charged{period: current}
 	}
-	if a.scarce.Load() {
+	if a.exhausted.Load() {
 		retryAfter := a.retryAfter(rand.Float64())
 		a.refused.Add(1)
 		return OverLimit{retryAfter: retryAfter}
@@ -127,15 +127,15 @@
 	if v.period == nil {
 		return
 	}
-	v.period.account.stock.giveBack(v.period.number)
+	v.period.account.balance.giveBack(v.period.number)
 }
 
 // State is what a charger knows of a tenant.
 type State struct {
-	tokens  int64
-	granted time.Duration
-	valid   bool
-	scarce  bool
+	tokens    int64
+	granted   time.Duration
+	valid     bool
+	exhausted bool
 }
 
 // Tokens returns the number of tokens.
@@ -147,8 +147,8 @@
 // IsValid reports whether the tokens may be used: the owner answered lately.
 func (s State) IsValid() bool { return s.valid }
 
-// IsScarce reports whether the tenant had used up its limit when the owner last answered.
-func (s State) IsScarce() bool { return s.scarce }
+// IsExhausted reports whether the tenant had used up its limit when the owner last answered.
+func (s State) IsExhausted() bool { return s.exhausted }
 
 // State returns the state of the tenant's account.
 func (c *Charger) State(now time.Duration, tenant uint32) State {
@@ -157,8 +157,8 @@
 		return State{}
 	}
 	return State{
-		tokens: a.stock.tokens(), granted: time.Duration(a.granted.Load()),
-		valid: int64(now) < c.validUntil.Load(), scarce: a.scarce.Load(),
+		tokens: a.balance.tokens(), granted: time.Duration(a.granted.Load()),
+		valid: int64(now) < c.validUntil.Load(), exhausted: a.exhausted.Load(),
 	}
 }
 
--- a/charger/local.go
+++ b/charger/local.go
@@ -32,7 +32,8 @@
 	return l
 }
 
-// Admit reports whether a call may pass, of which the instance may admit calls in a window.
+// Admit reports whether a call of the tenant may pass. calls is how many of them the
+// instance may admit in a window.
 func (l *Local) Admit(now time.Duration, tenant uint32, calls int) bool {
 	if calls <= 0 {
 		return false
@@ -79,7 +80,8 @@
 	return r
 }
 
-// admit takes the place of a call that left the window.
+// admit records a call in place of the oldest one. It returns false if that one is still in
+// the window, or if another call has just taken its place.
 func (r *ring) admit(now, window time.Duration) bool {
 	at := &r.times[r.next.Load()%uint64(len(r.times))]
 	oldest := at.Load()
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -20,8 +20,8 @@
 	searchInterval     = 100 * time.Millisecond
 	slowSearchInterval = 250 * time.Millisecond
 	searchPatience     = 2 * time.Second
-	// sightingLife is how long an instance that answered counts as there.
-	sightingLife = 2 * slowSearchInterval
+	// answerLife is how long after its last answer an instance may be chosen.
+	answerLife = 2 * slowSearchInterval
 	// searchTime is how long answers are waited for before an owner is chosen.
 	searchTime = searchInterval / 2
 	// unconfirmedTime is how long a holder stays with an owner that is not confirmed if
@@ -67,8 +67,8 @@
 // Candidate returns the hash of the instance's ID.
 func (s Search) Candidate() uint32 { return s.candidate }
 
-// sighting is the last answer of a candidate.
-type sighting struct {
+// answer is the last answer of a candidate.
+type answer struct {
 	at        time.Duration
 	confirmed bool
 	stamp     granter.Stamp
@@ -79,28 +79,28 @@
 type Elector struct {
 	window     time.Duration
 	owner      uint32
-	has        bool // Whether owner is set.
-	confirmed  bool
-	stamp      granter.Stamp
-	number     uint32
-	sentAt     time.Duration
-	waiting    bool
-	misses     int
-	bound      time.Duration // Until when the last vote lasts.
-	touchedAt  time.Duration
-	touched    bool
-	chosenAt   time.Duration
-	chosen     bool
-	settled    bool
+	has        bool          // Whether owner is set.
+	confirmed  bool          // Whether the owner was confirmed when it last answered.
+	stamp      granter.Stamp // Of the owner's last reply.
+	number     uint32        // Of the last request to an owner.
+	sentAt     time.Duration // When that was sent.
+	waiting    bool          // Whether its reply is awaited.
+	misses     int           // Repetitions of the request.
+	voteUntil  time.Duration // When the last vote runs out.
+	touchedAt  time.Duration // When the last request that a confirmed owner answered was sent.
+	touched    bool          // Whether touchedAt is set.
+	chosenAt   time.Duration // When the owner, or the last one, was chosen.
+	chosen     bool          // Whether chosenAt is set.
+	settled    bool          // Whether the choice before that, if any, was at least a window earlier.
 	searchedAt time.Duration
 	searching  time.Duration // Since when no owner is chosen.
-	sightings  map[uint32]sighting
+	answers    map[uint32]answer
 }
 
 // New returns the elector of a process that starts now. An earlier process of the holder
 // may have voted just before. The window is that of the tolerance of rate limits.
 func New(now, window time.Duration) *Elector {
-	return &Elector{window: window, bound: now + granter.VoteLife, searching: now, searchedAt: now - searchInterval, sightings: map[uint32]sighting{}}
+	return &Elector{window: window, voteUntil: now + granter.VoteLife, searching: now, searchedAt: now - searchInterval, answers: map[uint32]answer{}}
 }
 
 // Owner returns the owner that the holder votes for, and false if there is none.
@@ -127,6 +127,7 @@
 	return actions
 }
 
+// searchPause returns the time between two searches.
 func (e *Elector) searchPause(now time.Duration) time.Duration {
 	if now-e.searching < searchPatience {
 		return searchInterval
@@ -159,12 +160,13 @@
 	return elapsed >= interval
 }
 
+// vote returns the next request to the owner, or the repetition of one without a reply.
 func (e *Elector) vote(now time.Duration) Vote {
 	if e.waiting {
 		e.misses++
 	}
 	e.number++
-	e.sentAt, e.waiting, e.bound = now, true, now+granter.VoteLife
+	e.sentAt, e.waiting, e.voteUntil = now, true, now+granter.VoteLife
 	inTouch := e.touched && now-e.touchedAt < granter.TouchLife
 	return Vote{owner: e.owner, number: e.number, stamp: e.stamp, inTouch: inTouch, settled: e.settled}
 }
@@ -185,12 +187,12 @@
 		}
 	}
 	e.has, e.confirmed, e.waiting, e.misses, e.searching = false, false, false, 0, now
-	delete(e.sightings, e.owner)
+	delete(e.answers, e.owner)
 }
 
 // choose chooses an owner once the last vote has run out.
 func (e *Elector) choose(now time.Duration, candidates []uint32) {
-	if e.has || now-e.searching < searchTime || now < e.bound && !e.mayVoteEarly(now, candidates) {
+	if e.has || now-e.searching < searchTime || now < e.voteUntil && !e.mayVoteEarly(now, candidates) {
 		return
 	}
 	best, ok := e.best(now, candidates)
@@ -199,40 +201,41 @@
 	}
 	e.settled = !e.chosen || now-e.chosenAt >= e.window
 	e.owner, e.has, e.confirmed = best, true, false
-	e.stamp = e.sightings[best].stamp
+	e.stamp = e.answers[best].stamp
 	e.chosenAt, e.chosen = now, true
 	e.sentAt = now - interval
 }
 
 // mayVoteEarly reports whether a process that has not voted yet need not wait until a vote
 // of an earlier one has run out: an owner is confirmed without that vote, or most candidates
-// have answered and none is. That such a vote makes a second owner then takes the restart of
-// most coordinators while another one runs on that they don't reach.
+// have answered and none is. The early vote can make a second confirmed owner only if most
+// coordinators restart while another owner runs on that they don't reach.
 func (e *Elector) mayVoteEarly(now time.Duration, candidates []uint32) bool {
 	if e.number > 0 {
 		return false
 	}
 	there, confirmed := 0, false
 	for _, c := range candidates {
-		if e.isThere(now, c) {
+		if e.hasAnswered(now, c) {
 			there++
-			confirmed = confirmed || e.sightings[c].confirmed
+			confirmed = confirmed || e.answers[c].confirmed
 		}
 	}
 	return confirmed || 2*there > len(candidates)
 }
 
-func (e *Elector) isThere(now time.Duration, candidate uint32) bool {
-	s, seen := e.sightings[candidate]
-	return seen && now-s.at < sightingLife
+// hasAnswered reports whether the candidate has answered lately.
+func (e *Elector) hasAnswered(now time.Duration, candidate uint32) bool {
+	a, ok := e.answers[candidate]
+	return ok && now-a.at < answerLife
 }
 
 // best returns the best candidate that has answered lately.
 func (e *Elector) best(now time.Duration, candidates []uint32) (id uint32, ok bool) {
-	isThere := func(c uint32) bool { return e.isThere(now, c) }
-	at := slices.IndexFunc(candidates, func(c uint32) bool { return isThere(c) && e.sightings[c].confirmed })
+	hasAnswered := func(c uint32) bool { return e.hasAnswered(now, c) }
+	at := slices.IndexFunc(candidates, func(c uint32) bool { return hasAnswered(c) && e.answers[c].confirmed })
 	if at < 0 {
-		at = slices.IndexFunc(candidates, isThere)
+		at = slices.IndexFunc(candidates, hasAnswered)
 	}
 	if at < 0 {
 		return 0, false
@@ -244,7 +247,7 @@
 // to the last one, whose grants count, and false otherwise.
 func (e *Elector) Receive(now time.Duration, r granter.Reply) (sentAt time.Duration, ok bool) {
 	if r.Number() == 0 {
-		e.sightings[r.Owner()] = sighting{at: now, confirmed: r.Confirmed(), stamp: r.Stamp()}
+		e.answers[r.Owner()] = answer{at: now, confirmed: r.Confirmed(), stamp: r.Stamp()}
 		return 0, false
 	}
 	if !e.has || r.Owner() != e.owner || r.Number() != e.number || !e.waiting {
@@ -252,7 +255,7 @@
 	}
 	e.waiting, e.misses = false, 0
 	e.stamp, e.confirmed = r.Stamp(), r.Confirmed()
-	e.sightings[e.owner] = sighting{at: now, confirmed: e.confirmed, stamp: e.stamp}
+	e.answers[e.owner] = answer{at: now, confirmed: e.confirmed, stamp: e.stamp}
 	if e.confirmed {
 		e.touchedAt, e.touched = e.sentAt, true
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -103,7 +103,7 @@
 	liveInstances atomic.Pointer[[]registrar.Instance]
 	heartbeatAt   time.Duration // Used by the run goroutine alone, as is roleTable.
 	roleTable     *roleTable
-	heard         atomic.Pointer[hearsay]
+	heard         atomic.Pointer[peerRevision]
 	lastSeen      sync.Map // From an instance's hash to *atomic.Int64, when it was last known to be alive.
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -50,8 +50,8 @@
 	flagUnreachable = 1 << 0 // The worker did not answer.
 	flagUnhealthy   = 1 << 1 // The worker reports that it is unhealthy.
 	flagReport      = 1 << 2 // The record has a load report.
-	flagCold        = 1 << 4 // The worker has told the sender that it is cold.
 	flagPeer        = 1 << 3 // The record is of a peer: only Worker and AgeMs are set.
+	flagCold        = 1 << 4 // The worker has told the sender that it is cold.
 	percent         = 100
 	maxRecords      = math.MaxUint8
 )
--- a/gossiper/hearsay.go
+++ b/gossiper/peer_revision.go
@@ -6,27 +6,27 @@
 	"burdocklane/storer"
 )
 
-// maxHearsayAge is how long a revision that a peer has sent is passed on after it was
+// maxPeerRevisionAge is how long a revision that a peer has sent is passed on after it was
 // last heard.
-const maxHearsayAge = 2 * time.Second
+const maxPeerRevisionAge = 2 * time.Second
 
-// hearsay is a revision of the store that peers have sent. It is immutable.
-type hearsay struct {
+// peerRevision is a revision of the store that peers have sent. It is immutable.
+type peerRevision struct {
 	revision storer.Revision
 	at       time.Duration
 }
 
 // hear records a revision that a peer has sent, unless a later one was heard within
-// maxHearsayAge. Only the goroutine that receives calls it.
+// maxPeerRevisionAge. Only the goroutine that receives calls it.
 func (i *Gossiper) hear(revision storer.Revision, now time.Duration) {
 	if !revision.Before(i.heardRevision()) {
-		i.heard.Store(&hearsay{revision: revision, at: now})
+		i.heard.Store(&peerRevision{revision: revision, at: now})
 	}
 }
 
-// heardRevision returns the latest revision that was heard within maxHearsayAge.
+// heardRevision returns the latest revision that was heard within maxPeerRevisionAge.
 func (i *Gossiper) heardRevision() storer.Revision {
-	if heard := i.heard.Load(); heard != nil && i.now()-heard.at <= maxHearsayAge {
+	if heard := i.heard.Load(); heard != nil && i.now()-heard.at <= maxPeerRevisionAge {
 		return heard.revision
 	}
 	return storer.Revision{}
--- a/gossiper/target.go
+++ b/gossiper/target.go
@@ -44,9 +44,9 @@
 	return t.path != "" && t.worker.ReportAge(now) >= t.refresh-recheckMargin && t.worker.LeavingFor(now) == 0
 }
 
-// recordWarmup records what a check of this instance says of the worker's warm-up. Peers get
-// only that: what they have said themselves would never end.
-// It reports whether the worker has turned cold and gets fewer calls for it.
+// recordWarmup records what a check of this instance says of the worker's warm-up. It reports
+// whether the worker has turned cold and gets fewer calls for it. Only own checks are passed
+// on to peers: instances that repeat each other would keep a worker cold for ever.
 func (t *target) recordWarmup(left time.Duration) bool {
 	now := t.pool.Now()
 	wasCold := t.state.coldUntil.Swap(int64(now+left)) > int64(now)
@@ -120,7 +120,7 @@
 		return
 	}
 	if r.Flags&flagCold != 0 {
-		t.pool.RecordColdHearsay(t.worker)
+		t.pool.RecordPeerCold(t.worker)
 	}
 	if r.Flags&flagReport != 0 && t.pool.RecordReport(t.worker, r.report(t.pool.Now())) {
 		t.worker.SetUnhealthy(r.Flags&flagUnhealthy != 0)
--- a/granter/bucket.go
+++ b/granter/bucket.go
@@ -13,7 +13,7 @@
 	level   float64
 	minted  time.Duration // The owner's minted time up to which tokens were added.
 	entries map[uint32]*entry
-	isNew   bool // It has got no tokens since the owner was confirmed.
+	isNew   bool // No demand was answered since the owner was confirmed.
 }
 
 // entry is what a holder was last known to have and to want.
@@ -38,6 +38,7 @@
 	return held
 }
 
+// wanted returns the number of tokens that the holders would have.
 func (b *bucket) wanted() int {
 	wanted := 0
 	for _, e := range b.entries {
@@ -67,22 +68,22 @@
 	part := float64(e.wanted) / float64(b.wanted())
 	limit := min(e.wanted, int(math.Ceil(maxHeld*part)), max(int(maxPart), 1))
 	room := int(maxHeld) - b.held()
-	if e.held > 0 {
-		room -= b.without()
+	if e.held > 0 { // One token is left for each holder without any.
+		room -= b.countWithoutTokens()
 	}
 	available := min(int(b.level), int(math.Ceil(b.level*part)))
 	tokens = max(min(limit-e.held, room, available), 0)
-	if e.held == 0 && tokens > 1 {
-		tokens = max(min(tokens, room-b.without()+1), 1)
+	if e.held == 0 && tokens > 1 { // The others without tokens come before its second one.
+		tokens = max(min(tokens, room-b.countWithoutTokens()+1), 1)
 	}
 	e.held += tokens
 	b.level -= float64(tokens)
-	// The holders have more than a few tokens only of a tenant within its limit.
+	// Holders with half of the tokens that they may have show a tenant within its limit.
 	return tokens, available < limit-e.held+tokens && float64(b.held()) < maxHeld/2
 }
 
-// without returns the number of holders that want tokens and have none.
-func (b *bucket) without() int {
+// countWithoutTokens returns the number of holders that want tokens and have none.
+func (b *bucket) countWithoutTokens() int {
 	count := 0
 	for _, e := range b.entries {
 		if e.held == 0 && e.wanted > 0 {
--- a/granter/owner.go
+++ b/granter/owner.go
@@ -47,21 +47,21 @@
 
 // holder is what the owner knows of a holder.
 type holder struct {
-	process   uint32
-	number    uint32
-	voteUntil time.Duration
-	heldUntil time.Duration
-	repliedAt time.Duration
-	inTouch   bool
-	settled   bool
+	process   uint32        // Identifies the holder's process.
+	number    uint32        // Of its last request.
+	voteUntil time.Duration // When its vote runs out.
+	heldUntil time.Duration // When its tokens are void.
+	repliedAt time.Duration // When the last request with a vote was answered.
+	inTouch   bool          // See Request.InTouch.
+	settled   bool          // See Request.Settled.
 }
 
 // authority is the part of the rates that the owner may grant for a while.
 type authority struct {
 	share   float64
-	until   time.Duration
-	members int
-	missing int // Coordinators that may have tokens which the owner does not know of.
+	until   time.Duration // When the first of its votes runs out.
+	members int           // The number of coordinators.
+	missing int           // Coordinators that may have tokens which the owner does not know of.
 }
 
 // New returns an owner without votes. The epoch tells its process from earlier ones.
@@ -116,6 +116,7 @@
 	}
 }
 
+// dropEntries forgets what the holder has and wants of all tenants.
 func (o *Owner) dropEntries(holder uint32) {
 	for _, b := range o.buckets {
 		delete(b.entries, holder)
@@ -183,6 +184,7 @@
 	}
 }
 
+// part returns the part of the rates that belongs to so many of the coordinators.
 func part(count int, members []uint32) float64 {
 	if len(members) == 0 {
 		return 0
--- a/limiter/assignment.go
+++ b/limiter/assignment.go
@@ -57,7 +57,7 @@
 	return Assigned{worker: worker, report: report}
 }
 
-// WithColdCall returns r as an assignment for which a call of the worker's allowance has been
+// WithColdCall returns a as an assignment for which a call of the worker's allowance has been
 // taken, as the worker is cold.
 func (a Assigned) WithColdCall() Assigned {
 	a.hasColdCall = true
--- a/limiter/patience.go
+++ b/limiter/patience.go
@@ -69,8 +69,8 @@
 	return last != 0 && p.Now()-last <= d
 }
 
-// noteRefusal records when a call was refused for lack of room. Refusals by the rate limit
-// of one tenant say nothing of the calls of others.
+// noteRefusal returns the admission, and records when a call was refused for lack of room.
+// Refusals by the rate limit of one tenant say nothing of the calls of others.
 func (p *Pool) noteRefusal(a Admission) Admission {
 	refused, ok := a.(Refused)
 	if !ok {
--- a/limiter/ranking.go
+++ b/limiter/ranking.go
@@ -123,20 +123,20 @@
 // congestion returns how much slower congested workers are, as all are while calls wait.
 func (p *Pool) congestion() float64 { return float64(p.congestionFactor.Load()) / perThousand }
 
-// isRoom reports whether the worker may get calls that are not confined to regions.
-func (p *Pool) isRoom(w *tracker.Worker, now time.Duration) bool {
+// canServe reports whether the worker may get calls that are not confined to regions.
+func (p *Pool) canServe(w *tracker.Worker, now time.Duration) bool {
 	state := w.State(0, now)
 	return (state == picker.Usable || state == picker.Suspect) && Constraint{}.permits(w)
 }
 
 // effectiveSlots returns the number of slots in the instance's region for calls that
-// occupy one for so long. A slot of a worker that takes twice as long counts as half a slot, and a cold worker
-// has no more slots than its allowance fills.
+// occupy one for so long. A slot of a worker that takes twice as long counts as half a slot,
+// and a cold worker has no more slots than its allowance fills.
 func (p *Pool) effectiveSlots(held time.Duration) float64 {
 	now, set := p.Now(), p.workerSet.Load()
 	slots := 0.0
 	for _, w := range set.local {
-		if p.isRoom(w, now) {
+		if p.canServe(w, now) {
 			slots += min(float64(w.Member().Slots())/w.Load(now).Slowdown(), p.coldSlots(w, set.holding, held, now))
 		}
 	}
@@ -211,7 +211,7 @@
 	free := freeWorkers{local: math.Inf(1), any: math.Inf(1)}
 	for _, w := range set.workers {
 		load := p.workerLoad(w, now)
-		if load.Saturated() || !p.isRoom(w, now) || !p.coldAccessTo(w, set.holding, now).hasCall() {
+		if load.Saturated() || !p.canServe(w, now) || !p.coldAccessTo(w, set.holding, now).hasCall() {
 			continue
 		}
 		slowdown := load.ExpectedLatency(time.Second).Seconds()
--- a/limiter/request.go
+++ b/limiter/request.go
@@ -74,7 +74,9 @@
 }
 
 // WithPriority sets the priority of the call; 0 is the highest.
-func WithPriority(rank int) RequestOption { return func(r *Request) { r.priority = rank } }
+func WithPriority(priority int) RequestOption {
+	return func(r *Request) { r.priority = priority }
+}
 
 // WithTimeout sets how long the caller waits for an answer. Zero means that it is unknown.
 func WithTimeout(d time.Duration) RequestOption { return func(r *Request) { r.timeout = d } }
--- a/limiter/warmup.go
+++ b/limiter/warmup.go
@@ -21,8 +21,8 @@
 	// coldDelay is how much later one call may arrive at the worker than the next: the time
 	// for verification and network.
 	coldDelay = 250 * time.Millisecond
-	// coldHearsay is how long a worker counts as cold after a peer has said so.
-	coldHearsay = 500 * time.Millisecond
+	// peerColdLife is how long a worker counts as cold after a peer has said so.
+	peerColdLife = 500 * time.Millisecond
 )
 
 var (
@@ -71,7 +71,7 @@
 
 // holding says since when this instance may send calls to the cold workers of its region.
 type holding struct {
-	isHolder bool
+	isHolder bool // Whether this instance holds the allowances.
 	since    time.Duration
 }
 
@@ -97,10 +97,10 @@
 type coldAccess uint8
 
 const (
-	accessFree    coldAccess = iota
-	accessLimited            // By the allowance of a cold worker, of which a call is left.
-	accessSpent              // The allowance has no call left now.
-	accessClosed             // Another instance holds the allowance of the cold worker.
+	accessFree    coldAccess = iota // The worker is not cold, or not limited.
+	accessLimited                   // By the allowance of a cold worker, of which a call is left.
+	accessSpent                     // The allowance has no call left now.
+	accessClosed                    // Another instance holds the allowance of the cold worker.
 )
 
 // hasCall reports whether a call may be sent now.
@@ -170,10 +170,10 @@
 	p.markCold(w, left)
 }
 
-// RecordColdHearsay records that a worker is cold, as a peer has said.
-func (p *Pool) RecordColdHearsay(w *tracker.Worker) {
+// RecordPeerCold records that a worker is cold, as a peer has said.
+func (p *Pool) RecordPeerCold(w *tracker.Worker) {
 	if p.coldLimit.Load() != nil {
-		p.markCold(w, coldHearsay)
+		p.markCold(w, peerColdLife)
 	}
 }
 
@@ -185,6 +185,7 @@
 	}
 }
 
+// markCold records that the worker is cold for so long at least.
 func (p *Pool) markCold(w *tracker.Worker, left time.Duration) {
 	now := p.Now()
 	if w.ExtendCold(now+left, now) {
--- a/limiter/warmup_test.go
+++ b/limiter/warmup_test.go
@@ -255,7 +255,7 @@
 	check := func(left time.Duration) func(*limiter.Pool, *tracker.Worker) {
 		return func(p *limiter.Pool, w *tracker.Worker) { p.RecordWarmup(w, left) }
 	}
-	hearsay := func(p *limiter.Pool, w *tracker.Worker) { p.RecordColdHearsay(w) }
+	hearsay := func(p *limiter.Pool, w *tracker.Worker) { p.RecordPeerCold(w) }
 	noRate := func(p *limiter.Pool, _ *tracker.Worker) { p.SetWarmup(descriptor.NewWarmup(left, 0)) }
 	type step = func(*limiter.Pool, *tracker.Worker)
 	tests := []struct {
--- a/ranker/verdict.go
+++ b/ranker/verdict.go
@@ -82,8 +82,8 @@
 
 // ReturnAfter returns when the caller of a refused call is told to come back: not before
 // the calls that wait now are expected to have been served, and within a third of the time
-// that it has left, up to maxReturn. spread, from 0 to 1, is random, so that callers don't return all at
-// once.
+// that it has left, up to maxReturn. spread, from 0 to 1, is random, so that callers don't
+// return all at once.
 func ReturnAfter(wait, left time.Duration, spread float64) time.Duration {
 	latest := min(time.Duration(returnShare*float64(left)), max(maxReturn, 2*wait))
 	earliest := min(max(wait, minReturn), latest/2)
--- a/scheduler/confined.go
+++ b/scheduler/confined.go
@@ -63,7 +63,7 @@
 func (s *Scheduler) allowedRegions(p *limiter.Pool, request limiter.Request) []string {
 	own := s.self.Locality().Region()
 	var regions []string
-	ranks := map[string]float64{}
+	ranks := map[string]float64{} // The own region has none, and so is first.
 	for _, region := range request.Regions().Names() {
 		slots := p.RegionSlots(region, request.Constraint())
 		if slots == 0 {
--- a/scheduler/limit_terms.go
+++ b/scheduler/limit_terms.go
@@ -13,7 +13,8 @@
 )
 
 // limitTerms holds what the rate limits take from a snapshot: the limits, and the
-// coordinators of all regions, one of which owns them. It is immutable.
+// coordinators of all regions, one of which owns them. It is immutable, but for the
+// cache of localCalls.
 type limitTerms struct {
 	snapshot   *publisher.Snapshot
 	self       registrar.Instance
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -89,8 +89,8 @@
 	return float64(state.Tokens()), state.IsValid()
 }
 
-// unknown rejects a call that could not be charged.
-func unknown() limiter.Assignment {
+// limitUnknown rejects a call that could not be charged.
+func limitUnknown() limiter.Assignment {
 	return limiter.NewLimitUnknown(time.Duration(float64(unknownRetryAfter)*(0.5+rand.Float64())), false)
 }
 
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -52,7 +52,7 @@
 
 const (
 	flagSpare    requestFlags = 1 << iota // The call may only use spare capacity.
-	flagSecond                            // The call already has an attempt in flight.
+	flagHedge                             // The call already has an attempt in flight.
 	flagConfined                          // Only workers of the scheduler's own region may get the call.
 	flagCharged                           // The call counts against its tenant's rate limit.
 )
--- a/scheduler/refusal_log.go
+++ b/scheduler/refusal_log.go
@@ -33,7 +33,7 @@
 	short     *metrics.Counter
 	loggedAt  time.Duration
 	logged    bool
-	since     int // Refusals since the last log line.
+	unlogged  int // Refusals since the last log line.
 }
 
 // record logs calls that were refused since the last log line, with what decided the last one.
@@ -43,7 +43,7 @@
 		reason = "limit-unknown"
 	}
 	r.log.Info().Str("tenant", string(tenant)).Str("reason", reason).Int("calls", since).Int64("tokens", s.Tokens()).
-		Bool("valid", s.IsValid()).Bool("exhausted", s.IsScarce()).Dur("last-grant-age", now-s.GrantedAt()).
+		Bool("valid", s.IsValid()).Bool("exhausted", s.IsExhausted()).Dur("last-grant-age", now-s.GrantedAt()).
 		Str("owner", string(owner)).Msg("call found no token of its tenant")
 }
 
@@ -58,11 +58,11 @@
 	} else {
 		t.overLimit.Inc()
 	}
-	t.since++
+	t.unlogged++
 	if t.logged && now-t.loggedAt < refusalLogInterval {
 		return 0, false
 	}
-	since, t.since = t.since, 0
+	since, t.unlogged = t.unlogged, 0
 	t.loggedAt, t.logged = now, true
 	return since, true
 }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -32,13 +32,13 @@
 }
 
 func flagsOf(request limiter.Request) requestFlags {
-	return requestFlags(0).setIf(flagSpare, request.NoWait()).setIf(flagSecond, request.IsHedge()).
+	return requestFlags(0).setIf(flagSpare, request.NoWait()).setIf(flagHedge, request.IsHedge()).
 		setIf(flagConfined, request.Regions().IsRestricted()).setIf(flagCharged, request.IsCharged())
 }
 
 // pendingRequest is an assignment request that waits for its reply.
 type pendingRequest struct {
-	owner      *Scheduler
+	requester  *Scheduler
 	pool       *limiter.Pool
 	constraint limiter.Constraint
 	scheduler  registrar.Instance
@@ -101,28 +101,28 @@
 // isSchedulerLive reports whether the scheduler is not known to have ended. Of other
 // regions that is unknown.
 func (r *pendingRequest) isSchedulerLive() bool {
-	if r.scheduler.Locality().Region() != r.owner.self.Locality().Region() {
+	if r.scheduler.Locality().Region() != r.requester.self.Locality().Region() {
 		return true
 	}
-	return slices.ContainsFunc(r.owner.live(), func(i registrar.Instance) bool { return i.ID() == r.scheduler.ID() })
+	return slices.ContainsFunc(r.requester.live(), func(i registrar.Instance) bool { return i.ID() == r.scheduler.ID() })
 }
 
 // withdraw releases the slot that may have been assigned in the meantime.
 func (r *pendingRequest) withdraw() {
-	r.owner.send(completion{Kind: kindCompletion, Call: r.callID}, r.address)
+	r.requester.send(completion{Kind: kindCompletion, Call: r.callID}, r.address)
 }
 
 func (r *pendingRequest) recordTimeout() {
 	timeoutsTotal.Inc()
-	r.owner.backoff.Store(r.scheduler.ID(), time.Now().Add(timeoutBackoff))
-	r.owner.log.Info().Str("arbiter", string(r.scheduler.ID())).Str("service", string(r.pool.Service())).Msg("scheduler did not answer")
+	r.requester.backoff.Store(r.scheduler.ID(), time.Now().Add(timeoutBackoff))
+	r.requester.log.Info().Str("arbiter", string(r.scheduler.ID())).Str("service", string(r.pool.Service())).Msg("scheduler did not answer")
 }
 
 // resolve looks up the worker that the scheduler assigned. It withdraws the
 // request if the worker is unknown here, about to stop or must not get the call.
 func (r *pendingRequest) resolve(reply assignmentReply) limiter.Assignment {
 	var worker *tracker.Worker
-	if service := r.owner.current().services[registrar.Hash(r.pool.Service())]; service != nil {
+	if service := r.requester.current().services[registrar.Hash(r.pool.Service())]; service != nil {
 		worker = service.workersByHash[reply.Worker]
 	}
 	if worker == nil || r.pool.IsClosed(worker) || r.pool.Exclude(worker, r.constraint) != limiter.NotExcluded {
@@ -136,7 +136,7 @@
 		if report, ok := worker.Report(); ok && !report.IsFromPeer() {
 			m.Load = newLoadReport(worker, r.pool.Now())
 		}
-		r.owner.send(m, r.address)
+		r.requester.send(m, r.address)
 	})
 	if reply.Status == statusAssignedCold {
 		return assigned.WithColdCall()
--- a/scheduler/requester.go
+++ b/scheduler/requester.go
@@ -34,7 +34,7 @@
 	switch r := assignment.(type) {
 	case limiter.Undecided:
 		if !r.IsCharged() && !s.limits.admitLocally(request.Tenant()) {
-			return unknown()
+			return limitUnknown()
 		}
 	case limiter.LimitUnknown:
 		if s.limits.admitLocally(request.Tenant()) {
@@ -198,7 +198,7 @@
 		return limiter.Undecided{}
 	}
 	r := &pendingRequest{
-		owner: s, pool: p, constraint: request.Constraint(), scheduler: scheduler, address: address,
+		requester: s, pool: p, constraint: request.Constraint(), scheduler: scheduler, address: address,
 		callID: callID{Requester: s.selfHash, Number: s.lastNumber.Add(1)}, replies: make(chan assignmentReply, 2),
 	}
 	s.pending.Store(r.callID.Number, r)
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -73,7 +73,7 @@
 		request = request.ConfinedTo(v.region)
 	}
 	switch {
-	case m.Flags.has(flagSecond):
+	case m.Flags.has(flagHedge):
 		return request.AsHedge()
 	case m.Flags.has(flagSpare):
 		return request.WithoutWaiting()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -115,15 +115,18 @@
 func (s *Shares) activeWeights(now time.Duration) *weightSum {
 	last := s.summedAt.Load()
 	current := s.sum.Load()
-	if current != nil && now-time.Duration(last) < sumInterval || !s.summedAt.CompareAndSwap(last, int64(now)) {
-		if current == nil {
-			return &weightSum{unlimited: 1}
-		}
+	if current != nil && now-time.Duration(last) < sumInterval {
 		return current
 	}
-	next := s.addUp(now)
-	s.sum.Store(next)
-	return next
+	if s.summedAt.CompareAndSwap(last, int64(now)) {
+		next := s.addUp(now)
+		s.sum.Store(next)
+		return next
+	}
+	if current == nil { // Another call is adding up the first sum.
+		return &weightSum{unlimited: 1}
+	}
+	return current
 }
 
 // addUp sums up the weights of the active tenants and forgets the others.
