Bound the estimated latency of a call by its target

It was in force on all four instances, but every call was refused since 22:52:40. The scheduler of the service, frozen for 2.005 s, took these for the latency of its first answer (work=2.005s in its refusals): more than any deadline, so that no worker could answer in time, no call was sent, and no answer corrected it. Ruled out: the configuration, the store, the rate limit (the reasons of all refusals are overload). Change: the estimate is at most the class's target. Calls that are late by it are still sent.

--- a/limiter/reported_load.go
+++ b/limiter/reported_load.go
@@ -161,10 +161,12 @@
 }
 
 // BaseLatency returns the latency of a call at a worker that is neither slow
-// nor congested: the observed mean, or a guess from the class's target.
+// nor congested: the observed mean, or a guess from the class's target. It is at most the
+// target: by a longer one, as after a pause of this process, calls would be refused as too
+// late for any worker, and no answer would correct it.
 func (p *Pool) BaseLatency(target time.Duration) time.Duration {
 	if baseLatency, ok := p.baseLatency.Load(target); ok {
-		return time.Duration(baseLatency.(*atomic.Int64).Load())
+		return min(time.Duration(baseLatency.(*atomic.Int64).Load()), target)
 	}
 	return time.Duration(baseLatencyGuess * float64(target))
 }
