--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -22,10 +22,11 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(*play) (bool, error){
-	"slash": playSlash,
-	"id":    playID,
-	"path":  playPath,
-	"stall": playStall,
+	"slash":   playSlash,
+	"id":      playID,
+	"path":    playPath,
+	"stall":   playStall,
+	"options": playOptions,
 }
 
 func main() {
--- a/review/_standin2/play.go
+++ b/review/_standin2/play.go
@@ -104,7 +104,9 @@
 func (p *play) close() {
 	p.closing.Do(func() {
 		for _, i := range p.instances {
-			i.command.Process.Signal(syscall.SIGKILL) //nolint:errcheck // It may have ended.
+			if i.command.Process != nil {
+				i.command.Process.Signal(syscall.SIGKILL) //nolint:errcheck // It may have ended.
+			}
 		}
 		for _, i := range p.instances {
 			<-i.done
@@ -184,7 +186,19 @@
 	if err := os.WriteFile(i.path, []byte(p.settings(i)), 0o600); err != nil {
 		return err
 	}
-	output, err := os.Create(filepath.Join(p.directory, i.name+".log"))
+	p.instances = append(p.instances, i)
+	return p.run(i)
+}
+
+// restart starts the process of a machine again.
+func (p *play) restart(n int) error {
+	p.instances[n].done = make(chan struct{})
+	return p.run(p.instances[n])
+}
+
+// run starts the process of a machine.
+func (p *play) run(i *instance) error {
+	output, err := os.OpenFile(filepath.Join(p.directory, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -193,13 +207,14 @@
 	i.command.Env = []string{"BURDOCKLANE_NODE_FILE=" + i.path, "PATH=" + os.Getenv("PATH"), "HOME=" + p.directory}
 	i.command.Stdout, i.command.Stderr = output, output
 	if err := i.command.Start(); err != nil {
+		close(i.done)
 		return err
 	}
-	p.instances = append(p.instances, i)
+	command, done := i.command, i.done
 	go func() {
-		err := i.command.Wait()
+		err := command.Wait()
 		p.record.detail("process of %s has ended: %v", i.name, err)
-		close(i.done)
+		close(done)
 	}()
 	return nil
 }
