--- /dev/null
+++ b/review/_standin3/worker.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	healthPath = "/health"
+	slots      = 6
+	workTime   = 10 * time.Millisecond
+)
+
+// ranRequest is one request that a worker ran: its bytes as they arrived.
+type ranRequest struct {
+	worker, service string
+	line            string // The request line.
+	id              string
+	tenant          string
+	hasKey          bool
+}
+
+// target returns the path and the query as they arrived.
+func (r ranRequest) target() string {
+	_, rest, _ := strings.Cut(r.line, " ")
+	target, _, _ := strings.Cut(rest, " ")
+	return target
+}
+
+// worker is a sound server of a service. It runs each request that names it, or that names
+// nobody, for workTime.
+type worker struct {
+	play        *play
+	id, service string
+	socket      net.Listener
+	answerBytes int        // Of the body of each answer; 0 stands for a short one.
+	mutex       sync.Mutex // Guards the fields below.
+	runs        []ranRequest
+	answering   int           // Answers whose body is being sent.
+	dark        chan struct{} // Closed when the worker has power again; nil while it has.
+}
+
+func startWorker(p *play, id, service string) *worker {
+	socket, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		panic(unable(err.Error()))
+	}
+	w := &worker{play: p, id: id, service: service, socket: socket}
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(conn)
+		}
+	}()
+	return w
+}
+
+// entry returns the key and the value of the worker's registration in the store.
+func (w *worker) entry() (key, value string) {
+	return "servers/" + w.id, fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":"a","Version":"v1","Capacity":%d,"State":"ready","WarmupLeftMs":0,"Seq":1,"born":%d}`,
+		w.service, w.socket.Addr(), slots, w.play.started.UnixMilli())
+}
+
+func (w *worker) allRuns() []ranRequest {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]ranRequest(nil), w.runs...)
+}
+
+// serve serves the requests of a connection, one after the other. The request line is kept
+// as it arrived; the rest is read by net/http.
+func (w *worker) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		method, _, _ := strings.Cut(line, " ")
+		request, err := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader(method+" / HTTP/1.1\r\n"), &headReader{reader: reader})))
+		if err != nil {
+			return
+		}
+		length := request.ContentLength
+		if length < 0 { // The product buffers short chunked bodies, and sends their length.
+			return
+		}
+		if _, err := io.CopyN(io.Discard, reader, length); err != nil {
+			return
+		}
+		if !w.write(conn, w.answer(strings.TrimRight(line, "\r\n"), request)) {
+			return
+		}
+	}
+}
+
+const (
+	// pieceBytes of an answer are sent every piecePause, which makes 1 MB a second for each
+	// answer.
+	pieceBytes = 20_000
+	piecePause = 20 * time.Millisecond
+)
+
+// write sends an answer, and reports whether it was sent to its end. A worker that loses
+// power in between sends nothing more; when it is back, it resets the connection.
+func (w *worker) write(conn net.Conn, answer string) bool {
+	w.count(1)
+	defer w.count(-1)
+	for {
+		if dark := w.darkness(); dark != nil {
+			<-dark
+			conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // It is closed next.
+			return false
+		}
+		piece := answer[:min(len(answer), pieceBytes)]
+		if _, err := io.WriteString(conn, piece); err != nil {
+			return false
+		}
+		if answer = answer[len(piece):]; answer == "" {
+			return true
+		}
+		time.Sleep(piecePause)
+	}
+}
+
+func (w *worker) count(change int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.answering += change
+}
+
+func (w *worker) running() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.answering
+}
+
+func (w *worker) darkness() chan struct{} {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.dark
+}
+
+// goDark takes the power from the worker for a while.
+func (w *worker) goDark(duration time.Duration) {
+	dark := make(chan struct{})
+	w.mutex.Lock()
+	w.dark = dark
+	answering := w.answering
+	w.mutex.Unlock()
+	w.play.logf("%s loses power for %s, with %d answers on their way", w.id, duration, answering)
+	time.Sleep(duration)
+	w.mutex.Lock()
+	w.dark = nil
+	w.mutex.Unlock()
+	close(dark)
+	w.play.logf("%s has power again", w.id)
+}
+
+func (w *worker) answer(line string, request *http.Request) string {
+	id := request.Header.Get("X-Request-Id")
+	running := w.running()
+	common := fmt.Sprintf("X-Instance-Id: %s\r\nX-Server-Load: %d,%d,%d,100\r\n", w.id, min(running, slots), max(running-slots, 0), slots)
+	if strings.HasPrefix(line, "GET "+healthPath+" ") {
+		return "HTTP/1.1 200 OK\r\n" + common + "Content-Length: 0\r\n\r\n"
+	}
+	common += fmt.Sprintf("X-Request-Id: %s\r\n", id)
+	if target := request.Header.Get("X-Target-Instance"); target != "" && target != w.id {
+		return "HTTP/1.1 421 Misdirected Request\r\n" + common + "Content-Length: 0\r\n\r\n"
+	}
+	r := ranRequest{worker: w.id, service: w.service, line: line, id: id, tenant: request.Header.Get("X-Tenant"), hasKey: request.Header.Get("Authorization") != ""}
+	w.mutex.Lock()
+	w.runs = append(w.runs, r)
+	w.mutex.Unlock()
+	w.play.logf("  run by %s of %s: %q, id %.60q, X-Tenant %q", w.id, w.service, line, id, r.tenant)
+	time.Sleep(workTime)
+	body := "answer of " + w.service + " to " + line + "\n"
+	body += strings.Repeat(".", max(w.answerBytes-len(body), 0))
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Response-Signature: %s.%s\r\nContent-Length: %d\r\n\r\n%s", common, w.id, id, len(body), body)
+}
+
+// headReader reads a head from a connection up to its empty line, and no byte beyond.
+type headReader struct {
+	reader *bufio.Reader
+	rest   []byte
+	ended  bool
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(p []byte) (int, error) {
+	if len(h.rest) == 0 {
+		if h.ended {
+			return 0, io.EOF
+		}
+		line, err := h.reader.ReadBytes('\n')
+		if err != nil {
+			return 0, err
+		}
+		h.rest = line
+		h.ended = len(strings.TrimRight(string(line), "\r\n")) == 0
+	}
+	n := copy(p, h.rest)
+	h.rest = h.rest[n:]
+	return n, nil
+}
