--- a/review/_standin3/dark.go
+++ b/review/_standin3/dark.go
@@ -32,7 +32,8 @@
 func playDark(p *play) {
 	p.configure(registry)
 	for n := range darkService {
-		p.addWorker(fmt.Sprintf("i-d%d", n+1), "design-registry").answerBytes = longAnswer
+		w := p.addWorker(fmt.Sprintf("i-d%d", n+1), "design-registry")
+		w.answerBytes, w.quiet = longAnswer, true
 	}
 	p.startInstances()
 	var calls sync.WaitGroup
@@ -83,10 +84,18 @@
 // checkTimeouts checks when the requests that last longer than the time of their route have
 // their final answer.
 func (p *play) checkTimeouts(lookups []lookup) {
+	ranBy := map[string]string{}
+	for _, w := range p.workers {
+		for _, r := range w.allRuns() {
+			ranBy[r.id] += " " + w.id
+		}
+	}
 	longer, late := 0, 0
 	statuses := map[int]int{}
+	p.logf("lookups: id, when sent, status (0: cut off, no whole answer), after how long, run by")
 	for _, l := range lookups {
 		statuses[l.final.status]++
+		p.logf("%s %.3f %d %s%s", l.id, l.sent.Sub(p.started).Seconds(), l.final.status, l.took.Round(time.Millisecond), ranBy[l.id])
 		if l.took <= routeTimeout {
 			continue
 		}
@@ -94,7 +103,7 @@
 		if l.took > routeTimeout+lateTime {
 			late++
 		}
-		p.logf("  %s, sent at %.3f: its final answer, status %d (0: cut off), came after %s", l.id, l.sent.Sub(p.started).Seconds(), l.final.status, l.took.Round(time.Millisecond))
+		p.logf("  %s lasts longer than TimeoutMs", l.id)
 	}
 	p.logf("%d requests, by status (0: no whole answer) %v; %d last longer than TimeoutMs, %d of them have no final answer 0.5 s later", len(lookups), statuses, longer, late)
 	if late >= 8 && 4*late > longer {
--- a/review/_standin3/worker.go
+++ b/review/_standin3/worker.go
@@ -40,6 +40,7 @@
 	id, service string
 	socket      net.Listener
 	answerBytes int        // Of the body of each answer; 0 stands for a short one.
+	quiet       bool       // Its runs are recorded at the end of the play.
 	mutex       sync.Mutex // Guards the fields below.
 	runs        []ranRequest
 	answering   int           // Answers whose body is being sent.
@@ -182,7 +183,9 @@
 	w.mutex.Lock()
 	w.runs = append(w.runs, r)
 	w.mutex.Unlock()
-	w.play.logf("  run by %s of %s: %q, id %.60q, X-Tenant %q", w.id, w.service, line, id, r.tenant)
+	if !w.quiet {
+		w.play.logf("  run by %s of %s: %q, id %.60q, X-Tenant %q", w.id, w.service, line, id, r.tenant)
+	}
 	time.Sleep(workTime)
 	body := "answer of " + w.service + " to " + line + "\n"
 	body += strings.Repeat(".", max(w.answerBytes-len(body), 0))
