--- a/review/_standin3/limits.go
+++ b/review/_standin3/limits.go
@@ -6,9 +6,19 @@
 	"time"
 )
 
+// limitsOfSite are the Limits of a configuration.
+const limitsOfSite = `"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}`
+
+// registry is a configuration like that of twla-gateway.
+const registry = `{"Version":"r7","Routes":{` +
+	`"lookup":{"Host":"registry.example","Prefix":"/designs/","Kind":"safe","TimeoutMs":1200,"TargetLatencyMs":250,"Priority":2,"MaxAttempts":2,"Service":"design-registry"},` +
+	`"reserve":{"Host":"registry.example","Prefix":"/batches/","Kind":"unsafe","TimeoutMs":1500,"TargetLatencyMs":300,"Priority":1,"MaxAttempts":2,"Service":"batch-ledger"}},` +
+	`"Services":{"design-registry":{"HealthPath":"/health"},"batch-ledger":{"HealthPath":"/health"}},` + limitsOfSite + `}`
+
 const (
-	shortBody = 30_000
-	longBody  = 100_000
+	requestsEach = 5 // To each instance.
+	shortBody    = 30_000
+	longBody     = 100_000
 )
 
 // playLimits raises the largest body that a consumer may send, and sends bodies between the
@@ -24,11 +34,13 @@
 	p.addWorker("i-d1", "design-registry")
 	p.addWorker("i-b1", "batch-ledger")
 	p.addWorker("i-b2", "batch-ledger")
-	p.startInstances()
+	p.startInstances(instanceCount)
 	for _, i := range p.instances {
 		i.stop()
 		p.run(i)
-		i.awaitReady()
+		if !i.awaitReady() {
+			panic(unable(i.name + " does not get ready again"))
+		}
 		time.Sleep(settleTime)
 		p.logf("%s has been restarted", i.name)
 		p.post(i, shortBody)
