--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,7 +6,7 @@
 case=$(cd "$(dirname "$0")" && pwd)
 cd "$case/../.." || exit 2
 [ -x target/burdocklane-instance ] && [ -x target/standin3 ] || { echo "build first: the deploy file, review/build-3.sh"; exit 2; }
-timeout --signal=KILL 115 target/standin3 path-route "$case/record.txt" >/dev/null
+timeout --signal=KILL 115 target/standin3 limits "$case/record.txt" >/dev/null
 status=$?
 tail -n 3 "$case/record.txt"
 [ "$status" -le 1 ] || exit 2
